--- /dev/null
+++ b/src/main/java/org/mallowroad/cloud/CloudApi.java
@@ -0,0 +1,267 @@
+package org.mallowroad.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.util.Methods;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Names;
+import org.mallowroad.net.Budget;
+import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Loop;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The cloud's calls. */
+public final class CloudApi {
+  private static final Logger LOG = LoggerFactory.getLogger(CloudApi.class);
+  private static final long TIMEOUT_MS = 5_000;
+
+  private final Loop loop;
+  private final HttpCaller caller;
+  private final Budget budget;
+  private final Names typeNames;
+  private final Names zoneNames;
+  private long wrong;
+
+  /** A machine as the list gives it. */
+  public record Listed(
+      String name,
+      String type,
+      String zone,
+      boolean spot,
+      String address,
+      String state,
+      double ageS) {}
+
+  /** An answer with a list, or null when there was none. */
+  public interface Got<T> {
+    /** Null when the call failed. */
+    void got(List<T> items);
+  }
+
+  /** How a rental call went. */
+  public interface Rented {
+    /**
+     * @param names the machines rented; null when the call has no known outcome
+     * @param refused true when the cloud has none of this kind
+     */
+    void rented(List<String> names, boolean refused);
+  }
+
+  /** Over a caller, within a budget. */
+  public CloudApi(Loop loop, HttpCaller caller, Budget budget, Names types, Names zones) {
+    this.loop = loop;
+    this.caller = caller;
+    this.budget = budget;
+    this.typeNames = types;
+    this.zoneNames = zones;
+  }
+
+  /** Answers that were not what the protocol says. */
+  public long wrong() {
+    return wrong;
+  }
+
+  /** Reads the machine types. */
+  public void types(Got<MachineType> got) {
+    if (!budget.take(1, loop.now())) {
+      got.got(null);
+      return;
+    }
+    caller.call(
+        Methods.GET,
+        "/machine_types",
+        null,
+        TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            List<MachineType> out = new ArrayList<>();
+            for (JsonNode t : Json.list(o, "builds")) {
+              List<String> zones = new ArrayList<>();
+              for (JsonNode z : Json.list(t, Fields.ZONES)) {
+                zones.add(z.asText());
+              }
+              String name = Json.string(t, Fields.LABEL, 200);
+              double price = Json.amount(t, Fields.PRICE, 1e9);
+              out.add(
+                  new MachineType(
+                      typeNames.intern(name),
+                      name,
+                      Json.amount(t, Fields.CPUS, 1e9),
+                      Json.amountOr(t, Fields.CARDS, 1e9, 0),
+                      Json.amount(t, Fields.MEM_GB, 1e9),
+                      Json.amountOr(t, Fields.CACHE_GB, 1e9, 0),
+                      Json.amountOr(t, Fields.FETCH, 1e9, 1),
+                      price,
+                      Json.amountOr(t, Fields.SPOT_PRICE, 1e9, price),
+                      Json.amountOr(t, Fields.BOOT_S, 1e9, 60),
+                      zones.stream().mapToInt(zoneNames::find).filter(z -> z >= 0).toArray()));
+            }
+            got.got(out);
+          }
+
+          @Override
+          void none() {
+            got.got(null);
+          }
+        });
+  }
+
+  /** Lists all machines. */
+  public void machines(Got<Listed> got) {
+    page(null, new ArrayList<>(), got);
+  }
+
+  private void page(String from, List<Listed> sofar, Got<Listed> got) {
+    if (!budget.take(1, loop.now())) {
+      got.got(null);
+      return;
+    }
+    caller.call(
+        Methods.GET,
+        "/machines?limit=500" + (from == null ? "" : "&from=" + from),
+        null,
+        TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            String last = null;
+            for (JsonNode m : Json.list(o, Fields.MACHINES)) {
+              String address = Json.stringOrNull(m, Fields.ADDRESS, 200);
+              last = Json.string(m, Fields.ID, 150);
+              sofar.add(
+                  new Listed(
+                      last,
+                      Json.string(m, Fields.TYPE, 200),
+                      Json.string(m, Fields.ZONE, 200),
+                      Json.bool(m, Fields.SPOT),
+                      address == null ? "" : address,
+                      Json.string(m, Fields.STATE, 40),
+                      Json.amountOr(m, Fields.AGE_S, 1e12, 0)));
+            }
+            JsonNode more = o.get(Fields.TRUNCATED);
+            if (more != null && more.asBoolean() && last != null) {
+              page(last, sofar, got);
+            } else {
+              got.got(sofar);
+            }
+          }
+
+          @Override
+          void none() {
+            got.got(null);
+          }
+        });
+  }
+
+  /** Rents machines under a name that is never used again for another request. */
+  public void rent(String hire, String type, String zone, boolean spot, int count, Rented rented) {
+    if (!budget.take(1, loop.now())) {
+      rented.rented(null, false);
+      return;
+    }
+    ObjectNode o = Json.object();
+    o.put(Fields.HIRE, hire);
+    o.put(Fields.TYPE, type);
+    o.put(Fields.ZONE, zone);
+    o.put(Fields.SPOT, spot);
+    o.put(Fields.COUNT, count);
+    caller.call(
+        Methods.POST,
+        "/machines",
+        Json.bytes(o),
+        2 * TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode r) throws BadMessage {
+            List<String> names = new ArrayList<>();
+            for (JsonNode n : Json.list(r, Fields.MACHINES)) {
+              names.add(n.asText());
+            }
+            rented.rented(names, false);
+          }
+
+          @Override
+          void refused(int status, String error) {
+            if (status == 503 && error.contains("capacity")) {
+              rented.rented(List.of(), true);
+            } else {
+              rented.rented(null, false);
+            }
+          }
+
+          @Override
+          void none() {
+            rented.rented(null, false);
+          }
+        });
+  }
+
+  /** Deletes machines; with true they and all on them are gone. */
+  public void delete(List<String> names, java.util.function.Consumer<Boolean> done) {
+    if (!budget.take(1, loop.now())) {
+      done.accept(false);
+      return;
+    }
+    ObjectNode o = Json.object();
+    ArrayNode list = o.putArray(Fields.MACHINES);
+    names.forEach(list::add);
+    caller.call(
+        Methods.POST,
+        "/machines/delete",
+        Json.bytes(o),
+        2 * TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode r) {
+            done.accept(true);
+          }
+
+          @Override
+          void none() {
+            done.accept(false);
+          }
+        });
+  }
+
+  private abstract class Parsed implements HttpCaller.Answer {
+    abstract void ok(int status, ObjectNode o) throws BadMessage;
+
+    abstract void none();
+
+    void refused(int status, String error) {
+      none();
+    }
+
+    @Override
+    public final void answered(int status, byte[] body) {
+      try {
+        ObjectNode o = body.length == 0 ? Json.object() : Json.parseObject(body);
+        if (status == 200) {
+          ok(status, o);
+        } else {
+          if (status == 400) {
+            LOG.error("event=cloud_refused body={}", o);
+          }
+          refused(status, o.path(Fields.ERROR).asText());
+        }
+      } catch (BadMessage e) {
+        wrong++;
+        LOG.warn("event=cloud_garbled status={} reason=\"{}\"", status, e.getMessage());
+        none();
+      }
+    }
+
+    @Override
+    public final void failed(boolean sent) {
+      none();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -0,0 +1,71 @@
+package org.mallowroad.config;
+
+import java.io.File;
+import java.io.IOException;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import org.mallowroad.core.FleetPolicy;
+import org.w3c.dom.Element;
+import org.xml.sax.SAXException;
+
+/** The operators' own settings (XML): the design's thresholds, triggers, cycle and step. */
+public record OperatorSettings(FleetPolicy fleet) {
+
+  /** What holds without a file. */
+  public static OperatorSettings defaults() {
+    return new OperatorSettings(FleetPolicy.defaults());
+  }
+
+  /**
+   * Reads and checks a file of the form {@code <mallowroad><fleet
+   * booked-limit=".."/></mallowroad>}.
+   */
+  public static OperatorSettings load(String file) throws BadSettings {
+    Element root;
+    try {
+      DocumentBuilderFactory f = DocumentBuilderFactory.newInstance();
+      f.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+      f.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+      var builder = f.newDocumentBuilder();
+      builder.setErrorHandler(null);
+      root = builder.parse(new File(file)).getDocumentElement();
+    } catch (ParserConfigurationException | SAXException | IOException e) {
+      throw new BadSettings(file, "file", "cannot be read: " + e.getMessage());
+    }
+    if (!root.getTagName().equals("mallowroad")) {
+      throw new BadSettings(file, root.getTagName(), "the root element is mallowroad");
+    }
+    FleetPolicy d = FleetPolicy.defaults();
+    if (!(root.getElementsByTagName("fleet").item(0) instanceof Element e)) {
+      return defaults();
+    }
+    return new OperatorSettings(
+        new FleetPolicy(
+            number(file, e, "booked-limit", d.bookedLimit(), 0.01, 1),
+            number(file, e, "waiting-limit", d.waitingLimit(), 1, 1e6),
+            number(file, e, "booked-spare", d.bookedSpare(), 0, 1),
+            number(file, e, "waiting-spare", d.waitingSpare(), 0, 1e6),
+            (long) (number(file, e, "cycle-s", d.cycleMs() / 1000.0, 0.1, 3600) * 1000),
+            (int) number(file, e, "step", d.step(), 1, 1000),
+            (long) (number(file, e, "idle-s", d.idleMs() / 1000.0, 0, 86400) * 1000)));
+  }
+
+  private static double number(
+      String file, Element e, String name, double otherwise, double min, double max)
+      throws BadSettings {
+    if (!e.hasAttribute(name)) {
+      return otherwise;
+    }
+    try {
+      double v = Double.parseDouble(e.getAttribute(name).trim());
+      if (v >= min && v <= max) {
+        return v;
+      }
+    } catch (NumberFormatException x) {
+      // Falls through to the one message.
+    }
+    throw new BadSettings(
+        file, "fleet/" + name, "a number from " + min + " to " + max + " is needed");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/config/Settings.java
@@ -0,0 +1,185 @@
+package org.mallowroad.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.File;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.wire.Json;
+
+/** The platform's settings file (TOML), checked. */
+public record Settings(
+    String node,
+    String zone,
+    Endpoint listen,
+    Endpoint peerListen,
+    List<Member> members,
+    Endpoint cloud,
+    Endpoint state,
+    List<String> zones,
+    List<TeamSetting> teams,
+    double reportS,
+    double leaseS,
+    double cancelS,
+    double stateRps,
+    double stateWriteRps,
+    double valueKb,
+    int txnOps,
+    double cloudRps,
+    double listLagS,
+    int maxSockets,
+    int nodes) {
+
+  /** Host and port. */
+  public record Endpoint(String host, int port) {
+    @Override
+    public String toString() {
+      return host + ":" + port;
+    }
+  }
+
+  /** Another controller. */
+  public record Member(String node, String zone, Endpoint endpoint) {}
+
+  /** A team's guarantee and limit. */
+  public record TeamSetting(
+      String name, double cpus, double cards, double cpusMax, double cardsMax) {}
+
+  /** Reads and checks a file. */
+  public static Settings load(String file) throws BadSettings {
+    JsonNode root;
+    try {
+      root = new TomlMapper().readTree(new File(file));
+    } catch (IOException e) {
+      String why =
+          e.getMessage() == null ? e.toString() : e.getMessage().lines().findFirst().orElse("");
+      throw new BadSettings(file, "file", "cannot be read: " + why);
+    }
+    return new Reader(file).read(root);
+  }
+
+  private record Reader(String file) {
+    Settings read(JsonNode root) throws BadSettings {
+      JsonNode params = table(root, "params", "params");
+      JsonNode workers = table(params, "workers", "params.workers");
+      JsonNode state = table(params, "state", "params.state");
+      JsonNode cloud = table(params, "cloud", "params.cloud");
+      JsonNode outside = table(root, "outside", "outside");
+      List<Member> members = new ArrayList<>();
+      for (JsonNode m : list(root, "members", "members", false)) {
+        members.add(
+            new Member(
+                text(m, "node_name", "members.node_name"),
+                text(m, "site", "members.site"),
+                endpoint(m, "endpoint", "members.endpoint")));
+      }
+      List<String> zones = new ArrayList<>();
+      for (JsonNode z : list(params, "zones", "params.zones", true)) {
+        if (!z.isTextual() || z.textValue().isEmpty()) {
+          throw bad("params.zones", "zone names are needed");
+        }
+        zones.add(z.textValue());
+      }
+      List<TeamSetting> teams = new ArrayList<>();
+      for (JsonNode t : list(params, "teams", "params.teams", true)) {
+        teams.add(
+            new TeamSetting(
+                text(t, "name", "params.teams.name"),
+                amount(t, "cpus", "params.teams.cpus", 0),
+                amount(t, "gpus", "params.teams.gpus", 0),
+                amount(t, "cpus_max", "params.teams.cpus_max", 0),
+                amount(t, "gpus_max", "params.teams.gpus_max", 0)));
+      }
+      JsonNode resources = params.path("resources");
+      return new Settings(
+          text(root, "node_name", "node_name"),
+          text(root, "site", "site"),
+          endpoint(root, "listen", "listen"),
+          endpoint(root, "peer_listen", "peer_listen"),
+          members,
+          endpoint(outside, "cloud", "outside.cloud"),
+          endpoint(outside, "state", "outside.state"),
+          zones,
+          teams,
+          positive(workers, "report_s", "params.workers.report_s"),
+          positive(workers, "lease_s", "params.workers.lease_s"),
+          positive(workers, "cancel_s", "params.workers.cancel_s"),
+          positive(state, "rps", "params.state.rps"),
+          positive(state, "write_rps", "params.state.write_rps"),
+          positive(state, "value_kb", "params.state.value_kb"),
+          (int) Math.max(4, positive(state, "txn_ops", "params.state.txn_ops")),
+          positive(cloud, "rps", "params.cloud.rps"),
+          amount(cloud, "list_lag_s", "params.cloud.list_lag_s", 0),
+          resources.has("max_sockets")
+              ? (int) positive(resources, "max_sockets", "params.resources.max_sockets")
+              : 1000,
+          members.size() + 1);
+    }
+
+    private BadSettings bad(String field, String reason) {
+      return new BadSettings(file, field, reason);
+    }
+
+    private JsonNode table(JsonNode o, String key, String field) throws BadSettings {
+      JsonNode n = o.get(key);
+      if (n == null || !n.isObject()) {
+        throw bad(field, "a table is needed");
+      }
+      return n;
+    }
+
+    private JsonNode list(JsonNode o, String key, String field, boolean needed) throws BadSettings {
+      JsonNode n = o.get(key);
+      if (n == null && !needed) {
+        return Json.array();
+      }
+      if (n == null || !n.isArray() || (needed && n.isEmpty())) {
+        throw bad(field, "a list is needed");
+      }
+      return n;
+    }
+
+    private String text(JsonNode o, String key, String field) throws BadSettings {
+      JsonNode n = o.get(key);
+      if (n == null || !n.isTextual() || n.textValue().isEmpty()) {
+        throw bad(field, "a text is needed");
+      }
+      return n.textValue();
+    }
+
+    private double amount(JsonNode o, String key, String field, double otherwise)
+        throws BadSettings {
+      JsonNode n = o.get(key);
+      if (n == null) {
+        return otherwise;
+      }
+      if (!n.isNumber() || !Double.isFinite(n.doubleValue()) || n.doubleValue() < 0) {
+        throw bad(field, "a number of at least 0 is needed");
+      }
+      return n.doubleValue();
+    }
+
+    private double positive(JsonNode o, String key, String field) throws BadSettings {
+      double d = amount(o, key, field, -1);
+      if (d <= 0) {
+        throw bad(field, "a number above 0 is needed");
+      }
+      return d;
+    }
+
+    private Endpoint endpoint(JsonNode o, String key, String field) throws BadSettings {
+      String s = text(o, key, field);
+      int colon = s.lastIndexOf(':');
+      try {
+        int port = Integer.parseInt(s.substring(colon + 1));
+        if (colon > 0 && port >= 0 && port < 65536) {
+          return new Endpoint(s.substring(0, colon), port);
+        }
+      } catch (NumberFormatException e) {
+        // Falls through to the one message.
+      }
+      throw bad(field, "host:port is needed");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -0,0 +1,412 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.cloud.CloudApi;
+import org.mallowroad.core.Fleet;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents and returns machines as {@link Fleet} decides; every rent is recorded before its call. */
+final class FleetManager {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetManager.class);
+  private static final long LIST_MS = 4_000;
+  private static final long TYPES_MS = 30_000;
+  private static final long SILENT_MS = 12_000;
+  private static final long MET_MS = 25_000;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final CloudApi cloud;
+  private final Site site;
+  private final Ledger ledger;
+  private final Fleet fleet;
+  private final long term;
+  private final long mark;
+  private final Office office;
+  private final List<Loop.Timer> duties = new ArrayList<>();
+  private final Object2ObjectLinkedOpenHashMap<String, Hire> hires =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private final Object2ObjectLinkedOpenHashMap<String, Expected> expected =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private int counter;
+  private boolean listing;
+  private boolean deleting;
+  private boolean stopped;
+
+  /** What the manager asks of the leader. */
+  interface Office {
+    /** True while the leader reaches the state service and its lease holds. */
+    boolean firm();
+
+    /** Jobs with waiting tasks, in order. */
+    List<Job> queue();
+
+    /** Attempts were freed. */
+    void changed();
+
+    /** Another leads. */
+    void deposed();
+  }
+
+  /** A recorded rental request. */
+  private static final class Hire {
+    final String name;
+    final Variant variant;
+    final int count;
+    final long sinceMs;
+    boolean calling;
+    boolean answered;
+    List<String> machines = List.of();
+
+    Hire(String name, Variant variant, int count, long sinceMs) {
+      this.name = name;
+      this.variant = variant;
+      this.count = count;
+      this.sinceMs = sinceMs;
+    }
+  }
+
+  /** A machine that was rented or listed and has not reported in this term. */
+  private record Expected(String name, Variant variant, long rentedMs, long metMs) {}
+
+  FleetManager(
+      Loop loop,
+      StateStore state,
+      CloudApi cloud,
+      Site site,
+      Ledger ledger,
+      long term,
+      long mark,
+      Office office) {
+    this.loop = loop;
+    this.state = state;
+    this.cloud = cloud;
+    this.site = site;
+    this.ledger = ledger;
+    this.fleet = new Fleet(ledger, site.operator.fleet());
+    this.term = term;
+    this.mark = mark;
+    this.office = office;
+  }
+
+  /** Begins; decisions wait until {@link #act()}. */
+  void start() {
+    duties.add(loop.every(LIST_MS, this::list));
+    duties.add(loop.every(TYPES_MS, this::types));
+    list();
+  }
+
+  /** The report round is over: from now on machines are rented and returned. */
+  void act() {
+    duties.add(loop.every(site.operator.fleet().cycleMs(), this::cycle));
+    cycle();
+  }
+
+  void stop() {
+    stopped = true;
+    duties.forEach(Loop.Timer::cancel);
+  }
+
+  /** Takes a recorded request on takeover; repeating it tells which machines it brought. */
+  void restore(String name, JsonNode v) {
+    MachineType type = site.type(v.path("type").asText());
+    int zone = site.zones.find(v.path("zone").asText());
+    if (type == null || zone < 0) {
+      return;
+    }
+    Hire h =
+        new Hire(
+            name,
+            new Variant(type, zone, v.path("spot").asBoolean()),
+            v.path("count").asInt(),
+            loop.now());
+    hires.put(name, h);
+    call(h);
+  }
+
+  /** The machine reported: it is no longer on its way. */
+  void reported(String machine) {
+    expected.remove(machine);
+  }
+
+  private void types() {
+    cloud.types(
+        t -> {
+          if (t != null && !stopped) {
+            site.machineTypes(t);
+          }
+        });
+  }
+
+  private void list() {
+    if (listing || stopped) {
+      return;
+    }
+    listing = true;
+    cloud.machines(
+        items -> {
+          listing = false;
+          if (items != null && !stopped) {
+            items.forEach(this::listed);
+          }
+        });
+  }
+
+  private void listed(CloudApi.Listed l) {
+    MachineType type = site.type(l.type());
+    int zone = site.zones.find(l.zone());
+    if (type == null || zone < 0 || ledger.isGone(l.name())) {
+      return;
+    }
+    long now = loop.now();
+    Machine m = ledger.machine(l.name());
+    if (l.state().equals(Fields.FAILED)) {
+      if (m == null) {
+        m = ledger.meet(l.name(), type, zone, l.spot(), now);
+      }
+      if (!m.failed) {
+        LOG.info("event=machine_failed machine={}", l.name());
+        ledger.machineFailed(m, now);
+        m.returning = true;
+        expected.remove(l.name());
+        office.changed();
+      }
+      return;
+    }
+    if (m == null || m.reportedMs < 0) {
+      expected.putIfAbsent(
+          l.name(),
+          new Expected(
+              l.name(), new Variant(type, zone, l.spot()), now - (long) (l.ageS() * 1000), now));
+    }
+  }
+
+  private void cycle() {
+    if (stopped || !office.firm()) {
+      return;
+    }
+    long now = loop.now();
+    for (Hire h : hires.values().toArray(new Hire[0])) {
+      if (!h.answered && !h.calling) {
+        call(h);
+      } else if (h.answered) {
+        settle(h);
+      }
+    }
+    List<Coming> coming = coming(now);
+    List<Job> queue = office.queue();
+    for (Fleet.Rent r : fleet.rents(queue, coming, site.machineTypes(), now)) {
+      rent(r, now);
+    }
+    for (Machine m : fleet.returns(!queue.isEmpty(), now)) {
+      LOG.info("event=return machine={} idle_ms={}", m.name, now - m.emptySinceMs);
+      m.returning = true;
+    }
+    judgeSilent(now);
+    sendDeletes(now);
+  }
+
+  private List<Coming> coming(long now) {
+    List<Coming> out = new ArrayList<>();
+    for (Hire h : hires.values()) {
+      if (!h.answered) {
+        out.add(new Coming(h.variant, h.count));
+      }
+    }
+    for (Expected e : expected.values()) {
+      // One that is long overdue may never come: it no longer holds back a replacement.
+      if (now - e.rentedMs < (long) (e.variant.type().bootS() * 1800) + 4000) {
+        out.add(new Coming(e.variant, 1));
+      }
+    }
+    return out;
+  }
+
+  private void rent(Fleet.Rent r, long now) {
+    String name = "r-" + term + "-" + counter++;
+    Hire h = new Hire(name, r.variant(), r.count(), now);
+    h.calling = true;
+    hires.put(name, h);
+    ObjectNode v = Json.object();
+    v.put("type", r.variant().type().name());
+    v.put("zone", site.zones.name(r.variant().zone()));
+    v.put("spot", r.variant().spot());
+    v.put("count", r.count());
+    Txn txn =
+        new Txn()
+            .given(Election.LEADER, mark)
+            .given(Records.HIRE + name, 0)
+            .put(Records.HIRE + name, v);
+    state.run(
+        txn,
+        (result, revision, failed) -> {
+          if (stopped) {
+            return;
+          }
+          if (result == Result.OK) {
+            call(h);
+          } else if (result == Result.NO && failed.contains(Election.LEADER)) {
+            office.deposed();
+          } else {
+            // Not known to be recorded: never called. Its name stays unused.
+            hires.remove(name);
+          }
+        });
+  }
+
+  private void call(Hire h) {
+    h.calling = true;
+    LOG.info(
+        "event=rent hire={} type={} zone={} spot={} count={}",
+        h.name,
+        h.variant.type().name(),
+        site.zones.name(h.variant.zone()),
+        h.variant.spot(),
+        h.count);
+    cloud.rent(
+        h.name,
+        h.variant.type().name(),
+        site.zones.name(h.variant.zone()),
+        h.variant.spot(),
+        h.count,
+        (names, refused) -> {
+          if (stopped) {
+            return;
+          }
+          h.calling = false;
+          long now = loop.now();
+          if (names == null) {
+            return; // Unknown: the next cycle repeats the same request.
+          }
+          h.answered = true;
+          h.machines = names;
+          if (refused || names.size() < h.count) {
+            LOG.info("event=rent_short hire={} got={} of={}", h.name, names.size(), h.count);
+            fleet.refused(h.variant, now);
+          }
+          for (String n : names) {
+            Machine m = ledger.machine(n);
+            if ((m == null || m.reportedMs < 0) && !ledger.isGone(n)) {
+              expected.putIfAbsent(n, new Expected(n, h.variant, h.sinceMs, now));
+            }
+          }
+          settle(h);
+        });
+  }
+
+  /** Deletes the record of a request once each of its machines reported or is gone. */
+  private void settle(Hire h) {
+    for (String n : h.machines) {
+      if (expected.containsKey(n)) {
+        return;
+      }
+    }
+    if (h.calling) {
+      return;
+    }
+    h.calling = true;
+    Txn txn = new Txn().given(Election.LEADER, mark).delete(Records.HIRE + h.name);
+    state.run(
+        txn,
+        (result, revision, failed) -> {
+          h.calling = false;
+          if (result == Result.OK) {
+            hires.remove(h.name);
+          }
+        });
+  }
+
+  /** Machines that stay silent are returned: the deletion proves their tasks gone. */
+  private void judgeSilent(long now) {
+    int usable = 0;
+    int fresh = 0;
+    for (Machine m : ledger.machines()) {
+      if (m.reportedMs >= 0) {
+        usable++;
+        if (now - m.reportedMs < SILENT_MS / 2) {
+          fresh++;
+        }
+      }
+    }
+    for (Machine m : ledger.machines()) {
+      if (m.returning) {
+        continue;
+      }
+      if (m.reportedMs >= 0) {
+        // When most are silent the fault is rather on this side.
+        if (now - m.reportedMs > SILENT_MS && 2 * fresh > usable) {
+          LOG.info("event=machine_silent machine={} ms={}", m.name, now - m.reportedMs);
+          m.returning = true;
+        }
+      } else if (now - m.sinceMs > MET_MS) {
+        LOG.info("event=machine_unseen machine={}", m.name);
+        m.returning = true;
+      }
+      if (m.draining && m.noticeMs == 0 && m.empty()) {
+        m.returning = true;
+      }
+    }
+    for (Expected e : expected.values().toArray(new Expected[0])) {
+      long late = (long) (e.variant.type().bootS() * 2500) + 10_000;
+      if (now - e.rentedMs > late && now - e.metMs > MET_MS) {
+        LOG.info("event=machine_never_came machine={}", e.name);
+        Machine m = ledger.meet(e.name, e.variant.type(), e.variant.zone(), e.variant.spot(), now);
+        if (m != null) {
+          m.returning = true;
+        }
+        expected.remove(e.name);
+      }
+    }
+  }
+
+  private void sendDeletes(long now) {
+    if (deleting) {
+      return;
+    }
+    List<String> names = new ArrayList<>();
+    for (Machine m : ledger.machines()) {
+      if (m.returning && names.size() < 100) {
+        names.add(m.name);
+      }
+    }
+    if (names.isEmpty()) {
+      return;
+    }
+    deleting = true;
+    cloud.delete(
+        names,
+        ok -> {
+          deleting = false;
+          if (stopped || !ok) {
+            return;
+          }
+          LOG.info("event=deleted machines={}", names);
+          for (String n : names) {
+            Machine m = ledger.machine(n);
+            if (m != null) {
+              ledger.machineGone(m, loop.now());
+            }
+            expected.remove(n);
+          }
+          office.changed();
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -0,0 +1,524 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.mallowroad.cloud.CloudApi;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Order;
+import org.mallowroad.core.Placement;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Budget;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Item;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One term of office: takes over, then places tasks, answers workers and sizes the fleet. */
+final class Leader {
+  private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+  private static final long FIRM_MS = 2_800;
+  private static final long HOLD_MS = 300;
+  private static final long WATCH_MS = 10_000;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final Site site;
+  private final Election election;
+  private final long term;
+  private final Ledger ledger;
+  private final Placement placement;
+  private final Committer committer;
+  private final FleetManager fleet;
+  private final Consumer<Job> onEnd;
+  private final long startedMs;
+  private final long deafMs;
+  private final List<Loop.Timer> duties = new ArrayList<>();
+  private final Object2ObjectOpenHashMap<String, WorkerReport> early =
+      new Object2ObjectOpenHashMap<>();
+  private boolean loaded;
+  private boolean acting;
+  private boolean stopped;
+  private boolean placing;
+
+  Leader(
+      Loop loop,
+      StateStore state,
+      CloudApi cloud,
+      Site site,
+      Election election,
+      long term,
+      long mark,
+      Consumer<Job> onEnd) {
+    this.loop = loop;
+    this.state = state;
+    this.site = site;
+    this.election = election;
+    this.term = term;
+    this.onEnd = onEnd;
+    this.startedMs = loop.now();
+    this.ledger =
+        new Ledger(term, site.settings.leaseS(), site.settings.reportS(), site.teams(), site.zones);
+    this.placement = new Placement(ledger);
+    // A withdrawal told by another node must end tasks within cancel_s, so a leader that cannot
+    // hear of it renews worker leases only as long as they still run out in time.
+    this.deafMs =
+        (long)
+            (Math.max(
+                    site.settings.leaseS() / 2,
+                    site.settings.cancelS() - site.settings.leaseS() - 4)
+                * 1000);
+    Budget writes =
+        new Budget(
+            site.settings.stateWriteRps() * 0.7, site.settings.stateWriteRps() * 0.7, loop.now());
+    this.committer =
+        new Committer(
+            loop,
+            state,
+            writes,
+            ledger,
+            site.zones,
+            mark,
+            site.settings.txnOps(),
+            new Committer.Events() {
+              @Override
+              public void deposed() {
+                election.stepDown();
+              }
+
+              @Override
+              public void ended(Job job, boolean done) {
+                if (done) {
+                  onEnd.accept(job);
+                }
+              }
+            });
+    this.fleet =
+        new FleetManager(
+            loop,
+            state,
+            cloud,
+            site,
+            ledger,
+            term,
+            mark,
+            new FleetManager.Office() {
+              @Override
+              public boolean firm() {
+                return Leader.this.firm();
+              }
+
+              @Override
+              public List<Job> queue() {
+                return placement.queue(loop.now());
+              }
+
+              @Override
+              public void changed() {
+                advance();
+              }
+
+              @Override
+              public void deposed() {
+                election.stepDown();
+              }
+            });
+  }
+
+  /** The token on every order. */
+  long term() {
+    return term;
+  }
+
+  /** A job of this term, or null. */
+  Job job(String id) {
+    return loaded ? ledger.job(id) : null;
+  }
+
+  /** Read by metrics. */
+  Ledger ledger() {
+    return ledger;
+  }
+
+  /** True while the lease was renewed so recently that it holds. */
+  private boolean firm() {
+    return loop.now() - election.renewedMs() < FIRM_MS;
+  }
+
+  void start() {
+    load();
+  }
+
+  void stop() {
+    stopped = true;
+    duties.forEach(Loop.Timer::cancel);
+    committer.stop();
+    fleet.stop();
+  }
+
+  // Takeover: open jobs, then their attempts, then rental requests.
+
+  private void load() {
+    if (stopped) {
+      return;
+    }
+    if (site.machineTypes().isEmpty()) {
+      loop.after(100, this::load);
+      return;
+    }
+    state.list(
+        Records.OPEN,
+        (r1, open, revision) ->
+            state.list(
+                Records.RUN,
+                (r2, run, x) ->
+                    state.list(
+                        Records.HIRE,
+                        (r3, hire, y) -> {
+                          if (stopped) {
+                            return;
+                          }
+                          if (r1 != Result.OK || r2 != Result.OK || r3 != Result.OK) {
+                            loop.after(200, this::load);
+                            return;
+                          }
+                          restoreWithdrawn(open, run, () -> loaded(open, run, hire, revision));
+                        })));
+  }
+
+  /** Attempts of jobs that are over still count: their specs stand in the end records. */
+  private void restoreWithdrawn(List<Item> open, List<Item> run, Runnable next) {
+    ObjectOpenHashSet<String> known = new ObjectOpenHashSet<>();
+    open.forEach(i -> known.add(i.key().substring(Records.OPEN.length())));
+    ObjectOpenHashSet<String> over = new ObjectOpenHashSet<>();
+    for (Item i : run) {
+      String id = jobOf(i.key());
+      if (!known.contains(id)) {
+        over.add(id);
+      }
+    }
+    readEnds(new ArrayList<>(over), 0, next);
+  }
+
+  private void readEnds(List<String> ids, int i, Runnable next) {
+    if (stopped) {
+      return;
+    }
+    if (i == ids.size()) {
+      next.run();
+      return;
+    }
+    state.get(
+        Records.end(ids.get(i)),
+        (result, item) -> {
+          if (result != Result.OK) {
+            loop.after(200, () -> readEnds(ids, i, next));
+            return;
+          }
+          try {
+            JsonNode v = item.value();
+            if (v != null && v.has("open")) {
+              JobSpec spec = Records.spec(v.get("open"), site.codec);
+              if (spec.team() >= 0) {
+                ledger.withdraw(ledger.accept(spec, 0, loop.now()), loop.now());
+              }
+            }
+          } catch (BadMessage e) {
+            LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+          }
+          readEnds(ids, i + 1, next);
+        });
+  }
+
+  private static String jobOf(String runKey) {
+    return runKey.substring(Records.RUN.length(), runKey.lastIndexOf('/'));
+  }
+
+  private void loaded(List<Item> open, List<Item> run, List<Item> hire, long revision) {
+    open.forEach(this::opened);
+    for (Item i : run) {
+      Job job = ledger.job(jobOf(i.key()));
+      if (job == null) {
+        continue;
+      }
+      restoreRun(job, i);
+    }
+    for (Job j : ledger.jobs()) {
+      ledger.restored(j);
+    }
+    loaded = true;
+    fleet.start();
+    hire.forEach(i -> fleet.restore(i.key().substring(Records.HIRE.length()), i.value()));
+    LOG.info(
+        "event=takeover term={} jobs={} records={} hires={} ms={}",
+        term,
+        ledger.jobs().size(),
+        run.size(),
+        hire.size(),
+        loop.now() - startedMs);
+    early.values().forEach(r -> take(r));
+    early.clear();
+    follow(revision);
+    duties.add(loop.every(250, this::tick));
+  }
+
+  private void restoreRun(Job job, Item i) {
+    JsonNode v = i.value();
+    int index = Integer.parseInt(i.key().substring(i.key().lastIndexOf('/') + 1));
+    if (index >= job.chunkCount()) {
+      return;
+    }
+    Chunk c = job.chunk(index);
+    ledger.restore(c, i.mark(), Records.done(v), v.path("high").asInt());
+    for (JsonNode a : v.path("live")) {
+      String name = a.path(2).asText();
+      JsonNode about = v.path("machines").path(name);
+      MachineType type = site.type(about.path(0).asText());
+      int zone = site.zones.find(about.path(1).asText());
+      if (type == null || zone < 0) {
+        LOG.error("event=record_unreadable key={} machine={}", i.key(), name);
+        continue;
+      }
+      Machine m = ledger.meet(name, type, zone, about.path(2).asBoolean(), loop.now());
+      ledger.restoreAttempt(
+          job, a.path(0).asInt(), a.path(1).asInt(), m, a.path(3).asLong(), loop.now());
+    }
+    if (job.withdrawn()) {
+      ledger.redo(c);
+    }
+  }
+
+  private void opened(Item i) {
+    try {
+      JobSpec spec = Records.spec(i.value(), site.codec);
+      if (spec.team() < 0) {
+        LOG.error("event=team_unknown job={}", spec.id());
+        return;
+      }
+      ledger.accept(spec, i.mark(), loop.now());
+    } catch (BadMessage e) {
+      LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
+    }
+  }
+
+  // New jobs and withdrawals, which any node may record.
+
+  private void follow(long from) {
+    if (stopped) {
+      return;
+    }
+    state.follow(
+        Records.OPEN,
+        from,
+        WATCH_MS,
+        (result, events, revision) -> {
+          if (stopped) {
+            return;
+          }
+          if (result != Result.OK) {
+            loop.after(200, this::relist);
+            return;
+          }
+          for (Item e : events) {
+            if (e.value() != null) {
+              opened(e);
+            } else {
+              closed(e.key().substring(Records.OPEN.length()));
+            }
+          }
+          if (!events.isEmpty()) {
+            advance();
+          }
+          follow(revision);
+        });
+  }
+
+  private void closed(String id) {
+    Job job = ledger.job(id);
+    if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
+      committer.reread(job, this::advance);
+    }
+  }
+
+  private void relist() {
+    if (stopped) {
+      return;
+    }
+    state.list(
+        Records.OPEN,
+        (result, open, revision) -> {
+          if (stopped) {
+            return;
+          }
+          if (result != Result.OK) {
+            loop.after(300, this::relist);
+            return;
+          }
+          ObjectOpenHashSet<String> ids = new ObjectOpenHashSet<>();
+          for (Item i : open) {
+            ids.add(i.key().substring(Records.OPEN.length()));
+            opened(i);
+          }
+          for (Job j : new ArrayList<>(ledger.jobs())) {
+            if (!ids.contains(j.spec.id())) {
+              closed(j.spec.id());
+            }
+          }
+          advance();
+          follow(revision);
+        });
+  }
+
+  // The ordinary course.
+
+  private void tick() {
+    long now = loop.now();
+    if (!acting && now - startedMs > (long) (site.settings.reportS() * 1250) + 500) {
+      acting = true;
+      LOG.info("event=acting term={} machines={}", term, ledger.machines().size());
+      fleet.act();
+    }
+    ledger.expireSilent(now);
+    advance();
+  }
+
+  /** Places what can be placed, soon, and commits what changed. */
+  private void advance() {
+    if (placing || stopped || !loaded) {
+      return;
+    }
+    placing = true;
+    loop.soon(
+        () -> {
+          placing = false;
+          if (!stopped) {
+            placeNow();
+          }
+        });
+  }
+
+  private void placeNow() {
+    if (acting && firm()) {
+      placement.drain(loop.now());
+      placement.place(loop.now());
+    }
+    committer.kick();
+  }
+
+  /** True when this leader must stop renewing worker leases. */
+  private boolean deaf() {
+    return loop.now() - Math.max(election.renewedMs(), state.contactMs()) > deafMs;
+  }
+
+  private Machine take(WorkerReport r) {
+    MachineType type = site.type(r.type());
+    int zone = site.zones.find(r.zone());
+    if (type == null || zone < 0) {
+      return null;
+    }
+    return ledger.meet(r.machine(), type, zone, r.spot(), loop.now());
+  }
+
+  /** Answers a report: null in place of orders means that this node must not answer for now. */
+  void report(WorkerReport r, Consumer<ObjectNode> reply) {
+    if (deaf()) {
+      reply.accept(null);
+      return;
+    }
+    if (!loaded) {
+      early.put(r.machine(), r);
+      reply.accept(WorkerCodec.orders(term, List.of()));
+      return;
+    }
+    Machine m = take(r);
+    if (m == null) {
+      reply.accept(WorkerCodec.orders(term, List.of()));
+      return;
+    }
+    fleet.reported(m.name);
+    List<Order> orders = ledger.report(m, r, firm(), loop.now());
+    m.answeredMs = loop.now();
+    if (orders == null) {
+      reply.accept(WorkerCodec.orders(term, List.of()));
+      return;
+    }
+    placeNow();
+    List<Attempt> recording = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      if (a.phase == Attempt.Phase.RECORDING) {
+        recording.add(a);
+      }
+    }
+    if (recording.isEmpty()) {
+      reply.accept(WorkerCodec.orders(term, orders));
+      return;
+    }
+    Held held = new Held(r, m, orders, recording, reply);
+    committer.afterNext(held::release);
+    held.timer = loop.after(HOLD_MS, held::release);
+  }
+
+  /** A report whose answer waits a moment for the commit of the starts it is to carry. */
+  private final class Held {
+    private final WorkerReport report;
+    private final Machine machine;
+    private final List<Order> orders;
+    private final List<Attempt> recording;
+    private final Consumer<ObjectNode> reply;
+    private Loop.Timer timer;
+    private boolean over;
+
+    Held(
+        WorkerReport report,
+        Machine machine,
+        List<Order> orders,
+        List<Attempt> recording,
+        Consumer<ObjectNode> reply) {
+      this.report = report;
+      this.machine = machine;
+      this.orders = orders;
+      this.recording = recording;
+      this.reply = reply;
+    }
+
+    void release() {
+      if (over) {
+        return;
+      }
+      over = true;
+      if (timer != null) {
+        timer.cancel();
+      }
+      if (stopped) {
+        reply.accept(null);
+        return;
+      }
+      for (Attempt a : recording) {
+        if (a.phase == Attempt.Phase.READY
+            && !a.stopping()
+            && a.session == report.session()
+            && firm()) {
+          orders.add(new Order(Order.Kind.LAUNCH, a.job.spec.id(), a.task, a.number, 0));
+        }
+      }
+      machine.answeredMs = loop.now();
+      reply.accept(WorkerCodec.orders(term, orders));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -0,0 +1,239 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.mallowroad.api.Door;
+import org.mallowroad.api.UserApi;
+import org.mallowroad.cloud.CloudApi;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Budget;
+import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.worker.ReportApi;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** One controller: listens, takes part in the election and, while elected, leads. */
+public final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final int MAX_BODY = 64 * 1024;
+
+  private final Site site;
+  private final XnioWorker worker;
+  private final Loop loop;
+  private final CloudApi cloud;
+  private final StateStore state;
+  private final Election election;
+  private final UserApi users;
+  private final ReportApi reports;
+  private final Undertow server;
+  private Leader leader;
+  private PrometheusMeterRegistry registry;
+
+  /** Wires a node together; nothing runs before {@link #start()}. */
+  public Node(Site site) throws IOException {
+    this.site = site;
+    Settings s = site.settings();
+    this.worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    this.loop = new Loop(worker.getIoThread());
+    ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 0);
+    String json = "application/json";
+    this.state =
+        new StateStore(
+            loop,
+            new HttpCaller(loop, buffers, s.state(), json, 32),
+            new HttpCaller(loop, buffers, s.state(), json, 8));
+    long now = loop.now();
+    this.cloud =
+        new CloudApi(
+            loop,
+            new HttpCaller(loop, buffers, s.cloud(), json, 8),
+            new Budget(s.cloudRps() * 0.7, s.cloudRps(), now),
+            site.types,
+            site.zones);
+    this.users =
+        new UserApi(
+            loop,
+            state,
+            new Budget(s.stateWriteRps() * 0.3 / s.nodes(), s.stateWriteRps() * 0.3, now),
+            new NodeJobs(),
+            s.valueKb());
+    this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
+    this.reports = new ReportApi(new NodeReports());
+    Door door = new Door(users, reports, this::healthy, this::metrics);
+    this.server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .addHttpListener(s.listen().port(), s.listen().host(), door)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, s.maxSockets() * 3 / 4)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, s.maxSockets() * 3 / 4 - 10)
+            .build();
+  }
+
+  /** Begins to serve. */
+  public void start() {
+    server.start();
+    loop.soon(
+        () -> {
+          types();
+          election.start();
+        });
+    LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
+  }
+
+  /** Ends all duties and connections. */
+  public void stop() {
+    loop.soon(
+        () -> {
+          if (leader != null) {
+            leader.stop();
+          }
+        });
+    server.stop();
+    worker.shutdown();
+  }
+
+  private void types() {
+    cloud.types(
+        t -> {
+          if (t != null && !t.isEmpty()) {
+            site.machineTypes(t);
+            loop.after(60_000, this::types);
+          } else {
+            loop.after(500, this::types);
+          }
+        });
+  }
+
+  private boolean healthy() {
+    return !site.machineTypes().isEmpty();
+  }
+
+  private String metrics() {
+    if (registry == null) {
+      // Made on the first request: a start must not pay for it.
+      registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      gauge("mallowroad.leading", n -> n.leader == null ? 0 : 1);
+      gauge("mallowroad.term", n -> n.election.seenTerm());
+      gauge("mallowroad.jobs.open", n -> n.leader == null ? 0 : n.leader.ledger().jobs().size());
+      gauge("mallowroad.machines", n -> n.leader == null ? 0 : n.leader.ledger().machines().size());
+      gauge(
+          "mallowroad.records.uncommitted",
+          n -> n.leader == null ? 0 : n.leader.ledger().dirty().size());
+      gauge(
+          "mallowroad.tasks.completed", n -> n.leader == null ? 0 : n.leader.ledger().completed());
+      gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
+      gauge("mallowroad.garbled.state", n -> n.state.wrong());
+      gauge("mallowroad.garbled.cloud", n -> n.cloud.wrong());
+      gauge("mallowroad.garbled.workers", n -> n.reports.wrong());
+    }
+    return registry.scrape();
+  }
+
+  private void gauge(String name, java.util.function.ToDoubleFunction<Node> f) {
+    Gauge.builder(name, this, f).register(registry);
+  }
+
+  private final class Office implements Election.Listener {
+    @Override
+    public void elected(long term, long mark) {
+      leader =
+          new Leader(
+              loop,
+              state,
+              cloud,
+              site,
+              election,
+              term,
+              mark,
+              job -> users.ended(job.spec.id(), true));
+      leader.start();
+    }
+
+    @Override
+    public void deposed() {
+      if (leader != null) {
+        leader.stop();
+        leader = null;
+      }
+    }
+  }
+
+  private final class NodeJobs implements UserApi.Jobs {
+    @Override
+    public JobSpec decode(JsonNode submission, long nowMs) throws BadMessage {
+      return site.codec.decode(submission, nowMs);
+    }
+
+    @Override
+    public boolean ready() {
+      return !site.machineTypes().isEmpty();
+    }
+
+    @Override
+    public String hopeless(JobSpec spec) {
+      return site.hopeless(spec);
+    }
+
+    @Override
+    public int[] counts(String id) {
+      Job j = leader == null ? null : leader.job(id);
+      return j == null ? null : new int[] {j.doneCount(), j.runningCount()};
+    }
+  }
+
+  private final class NodeReports implements ReportApi.Reports {
+    @Override
+    public void sawToken(long token) {
+      election.sawTerm(token);
+    }
+
+    @Override
+    public boolean leading() {
+      return leader != null;
+    }
+
+    @Override
+    public String leader() {
+      String l = election.leader();
+      return l == null || l.equals(site.settings.node()) ? null : l;
+    }
+
+    @Override
+    public void report(WorkerReport r, Consumer<ObjectNode> reply) {
+      leader.report(r, reply);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/Site.java
@@ -0,0 +1,88 @@
+package org.mallowroad.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.Team;
+import org.mallowroad.wire.JobCodec;
+
+/** What a node knows of its deployment: names as indices, machine types, teams. */
+public final class Site {
+  final Settings settings;
+  final OperatorSettings operator;
+  final Names zones = new Names();
+  final Names types = new Names();
+  final Names teamNames = new Names();
+  final JobCodec codec;
+  private List<MachineType> machineTypes = List.of();
+
+  /** From the settings. */
+  public Site(Settings settings, OperatorSettings operator) {
+    this.settings = settings;
+    this.operator = operator;
+    settings.zones().forEach(zones::intern);
+    settings.teams().forEach(t -> teamNames.intern(t.name()));
+    codec = new JobCodec(teamNames, zones, types, new Names(), new Names());
+  }
+
+  /** Decodes submissions. */
+  public JobCodec codec() {
+    return codec;
+  }
+
+  /** The settings. */
+  public Settings settings() {
+    return settings;
+  }
+
+  /** Teams with nothing used. */
+  List<Team> teams() {
+    List<Team> out = new ArrayList<>();
+    for (Settings.TeamSetting t : settings.teams()) {
+      out.add(new Team(t.name(), t.cpus(), t.cards(), t.cpusMax(), t.cardsMax()));
+    }
+    return out;
+  }
+
+  /** The machine types as last read; empty before the first answer. */
+  public List<MachineType> machineTypes() {
+    return machineTypes;
+  }
+
+  void machineTypes(List<MachineType> now) {
+    machineTypes = now;
+  }
+
+  MachineType type(String name) {
+    for (MachineType t : machineTypes) {
+      if (t.name().equals(name)) {
+        return t;
+      }
+    }
+    return null;
+  }
+
+  /** Why the job can never run, or null. */
+  public String hopeless(JobSpec s) {
+    if (s.team() < 0) {
+      return "unknown team";
+    }
+    Team team = teams().get(s.team());
+    if (!team.couldRun(s, s.service() ? s.tasks() : 1)) {
+      return "more than the team's limit";
+    }
+    for (MachineType t : machineTypes) {
+      if (!s.allowsType(t.index()) || !t.fits(s)) {
+        continue;
+      }
+      if (s.zone() < 0 ? t.zones().length > 0 : t.in(s.zone())) {
+        return null;
+      }
+    }
+    return "a task fits no allowed machine type";
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -0,0 +1,70 @@
+package org.mallowroad.core;
+
+/** One try to run one task on one machine; it takes room until it is proven gone. */
+public final class Attempt {
+  /** How far an attempt has come. */
+  public enum Phase {
+    /** Not yet committed: must not be launched. */
+    RECORDING,
+    /** Committed: its launch is sent until the worker reports it. */
+    READY,
+    /** Waiting for its image. */
+    PULLING,
+    /** Running. */
+    RUNNING,
+    /** Saving after a stop. */
+    FLUSHING,
+    /** Proven gone. */
+    GONE
+  }
+
+  /** The task it runs. */
+  public final Job job;
+
+  /** The number of the task in its job. */
+  public final int task;
+
+  /** The attempt's number, higher than any earlier one of this task. */
+  public final int number;
+
+  /** Where it runs. */
+  public final Machine machine;
+
+  /** The worker's session it was recorded for. */
+  public final long session;
+
+  /** How far it has come. */
+  public Phase phase;
+
+  /** Set when it is to be stopped: seconds to save; negative while it may run. */
+  public double stopGraceS = -1;
+
+  /** When it was recorded and when it began to run, on the steady clock. */
+  public final long sinceMs;
+
+  long runningSinceMs;
+  long stopSinceMs;
+
+  Attempt(Job job, int task, int number, Machine machine, long session, Phase phase, long now) {
+    this.job = job;
+    this.task = task;
+    this.number = number;
+    this.machine = machine;
+    this.session = session;
+    this.phase = phase;
+    this.sinceMs = now;
+  }
+
+  /** True once the worker was told to stop it, or will be. */
+  public boolean stopping() {
+    return stopGraceS >= 0;
+  }
+
+  /** Asks for a stop; a shorter time to save replaces a longer one. */
+  void stop(double graceS, long now) {
+    if (stopGraceS < 0 || graceS < stopGraceS) {
+      stopGraceS = graceS;
+      stopSinceMs = now;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -0,0 +1,47 @@
+package org.mallowroad.core;
+
+/** The part of a job's tasks that one record in the state service holds. */
+public final class Chunk {
+  /** Tasks a record: small enough that a full record stays below the value limit. */
+  public static final int TASKS = 64;
+
+  /** The job it belongs to and its place in it. */
+  public final Job job;
+
+  /** Place in the job. */
+  public final int index;
+
+  /** The record's version as last seen; 0 when there is none. */
+  public long mark;
+
+  /** True when memory knows more than the record. */
+  public boolean dirty;
+
+  /** Counts changes, so that a commit clears {@link #dirty} only if nothing came after it. */
+  public long changes;
+
+  Chunk(Job job, int index) {
+    this.job = job;
+    this.index = index;
+  }
+
+  /** First task of the chunk. */
+  public int from() {
+    return index * TASKS;
+  }
+
+  /** One past the last task of the chunk. */
+  public int to() {
+    return Math.min(job.spec.tasks(), from() + TASKS);
+  }
+
+  /** True when a task of the chunk has an attempt that is not proven gone. */
+  public boolean hasLive() {
+    for (int t = from(); t < to(); t++) {
+      if (job.live[t] != null) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/FleetPolicy.java
@@ -0,0 +1,27 @@
+package org.mallowroad.core;
+
+/**
+ * The design's open settings.
+ *
+ * @param bookedLimit a machine is saturated at this booked share of its scarcest resource
+ * @param waitingLimit or at this many waiting tasks
+ * @param bookedSpare rent when the averaged booked spare falls below this
+ * @param waitingSpare or the averaged waiting spare below this
+ * @param cycleMs time between two decisions
+ * @param step most machines rented of one type in a cycle
+ * @param idleMs how long a machine is empty before it may go back
+ */
+public record FleetPolicy(
+    double bookedLimit,
+    double waitingLimit,
+    double bookedSpare,
+    double waitingSpare,
+    long cycleMs,
+    int step,
+    long idleMs) {
+
+  /** Starting values; see docs/design.md for what changed against the document. */
+  public static FleetPolicy defaults() {
+    return new FleetPolicy(0.80, 5, 0.10, 3, 2_000, 50, 30_000);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -0,0 +1,109 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.ints.IntArrayFIFOQueue;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.BitSet;
+
+/** An accepted job and where its tasks are. */
+public final class Job {
+  /** What the user submitted. */
+  public final JobSpec spec;
+
+  /** Version of the job's open record, which never changes while the job is open. */
+  public final long mark;
+
+  final BitSet done = new BitSet();
+  final int[] number;
+  final Attempt[] live;
+  final Chunk[] chunks;
+  final IntArrayFIFOQueue pending = new IntArrayFIFOQueue();
+  final int[] zoneLive;
+
+  /** Machines on which a task of this job ended with an error. */
+  final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
+
+  int liveCount;
+  int runningCount;
+  int failures;
+  long notBeforeMs;
+  long waitingSinceMs;
+
+  /** True once the user's withdrawal is known; nothing is launched from then on. */
+  boolean withdrawn;
+
+  /** True once the job's end is recorded. */
+  boolean ended;
+
+  Job(JobSpec spec, long mark, int zones, long now) {
+    this.spec = spec;
+    this.mark = mark;
+    this.number = new int[spec.tasks()];
+    this.live = new Attempt[spec.tasks()];
+    this.chunks = new Chunk[(spec.tasks() + Chunk.TASKS - 1) / Chunk.TASKS];
+    for (int i = 0; i < chunks.length; i++) {
+      chunks[i] = new Chunk(this, i);
+    }
+    this.zoneLive = new int[zones];
+    this.waitingSinceMs = now;
+  }
+
+  /** The record that holds a task. */
+  public Chunk chunk(int i) {
+    return chunks[i];
+  }
+
+  /** How many records the job may have. */
+  public int chunkCount() {
+    return chunks.length;
+  }
+
+  /** True when the task is done. */
+  public boolean isDone(int task) {
+    return done.get(task);
+  }
+
+  /** The unresolved attempt of a task, or null. */
+  public Attempt live(int task) {
+    return live[task];
+  }
+
+  /** Highest attempt number that a task has had. */
+  public int number(int task) {
+    return number[task];
+  }
+
+  /** Number of tasks done. */
+  public int doneCount() {
+    return done.cardinality();
+  }
+
+  /** Number of tasks known to run. */
+  public int runningCount() {
+    return runningCount;
+  }
+
+  /** True when all tasks are done. */
+  public boolean allDone() {
+    return done.cardinality() == spec.tasks();
+  }
+
+  /** True while tasks wait and may be started. */
+  public boolean waiting() {
+    return !withdrawn && !ended && !pending.isEmpty();
+  }
+
+  /** True once the user's withdrawal is known. */
+  public boolean withdrawn() {
+    return withdrawn;
+  }
+
+  /** True once the job's end is recorded as done. */
+  public boolean ended() {
+    return ended;
+  }
+
+  /** True when nothing of an ended job is left on any machine. */
+  public boolean finished() {
+    return (withdrawn || ended) && liveCount == 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/JobSpec.java
@@ -0,0 +1,48 @@
+package org.mallowroad.core;
+
+/**
+ * What a user submitted, with names as dense indices.
+ *
+ * @param types bit set of allowed type indices, or null for any
+ * @param zone the only allowed zone, or -1
+ * @param dueS deadline after submission, or 0 for none
+ * @param submittedMs time of day of the acceptance
+ */
+public record JobSpec(
+    String id,
+    int taskClass,
+    int team,
+    boolean service,
+    int priority,
+    int tasks,
+    double cpus,
+    double cards,
+    double memGb,
+    int image,
+    double imageGb,
+    java.util.BitSet types,
+    int zone,
+    boolean together,
+    boolean scatter,
+    boolean spot,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    double dueS,
+    long submittedMs) {
+
+  /** True when the job allows the type, wherever the machine is. */
+  public boolean allowsType(int type) {
+    return types == null || types.get(type);
+  }
+
+  /** True when the job allows a machine of this type, zone and kind. */
+  public boolean allows(int type, int inZone, boolean onSpot) {
+    return allowsType(type) && (zone < 0 || zone == inZone) && (spot || !onSpot);
+  }
+
+  /** The most tasks that may be in one zone at the same time. */
+  public int zoneCap() {
+    return scatter ? (tasks + 1) / 2 : tasks;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -0,0 +1,544 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * Jobs, attempts and machines of one leader's term, and the sole answer to "may this task start?".
+ *
+ * <p>An attempt takes quota, zone and room from the moment it is made until it is proven gone: the
+ * worker reports its exit, or a later session, or (having seen this term) a newer list without it;
+ * the cloud answered the machine's deletion; the list says the machine failed; or the worker's
+ * lease must have run out. Nothing else frees it, whatever seems likely.
+ */
+public final class Ledger {
+  /** How an attempt ended. */
+  public enum Outcome {
+    /** Completed. */
+    DONE,
+    /** Stopped by command. */
+    STOPPED,
+    /** Failed by itself. */
+    ERROR,
+    /** The worker refused it for want of room. */
+    NO_ROOM,
+    /** The worker refused it for another reason. */
+    REFUSED,
+    /** Gone with its machine or its session, or never started. */
+    LOST
+  }
+
+  /** Why a task may not start on a machine. */
+  public enum Refusal {
+    /** Its job is over. */
+    OVER,
+    /** It is done or has an unresolved attempt. */
+    BUSY,
+    /** The machine takes no work. */
+    MACHINE,
+    /** The job does not allow the type, zone or kind. */
+    PLACE,
+    /** Not enough free room. */
+    ROOM,
+    /** The team's limit. */
+    QUOTA,
+    /** The zone rules of the job with its other tasks. */
+    ZONE
+  }
+
+  private final long term;
+  private final long leaseMs;
+  private final long freshMs;
+  private final List<Team> teams;
+  private final Names zones;
+  private final Object2ObjectLinkedOpenHashMap<String, Job> jobs =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private final Object2ObjectLinkedOpenHashMap<String, Machine> machines =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private final ObjectOpenHashSet<String> gone = new ObjectOpenHashSet<>();
+  private final ObjectLinkedOpenHashSet<Chunk> dirty = new ObjectLinkedOpenHashSet<>();
+  private final ObjectLinkedOpenHashSet<Job> ending = new ObjectLinkedOpenHashSet<>();
+
+  /** Runs of completed attempts whose length tells slow machines from others. */
+  private long completed;
+
+  /** An empty ledger for a term; machines silent for over two reports get no work. */
+  public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
+    this.freshMs = (long) (reportS * 2000);
+    this.term = term;
+    // Clocks of two machines drift apart by up to 0.05%; half a second covers timers that fire
+    // late.
+    this.leaseMs = (long) (leaseS * 1000 * 1.001) + 500;
+    this.teams = teams;
+    this.zones = zones;
+  }
+
+  /** Open jobs and those whose tasks are not all proven gone. */
+  public Collection<Job> jobs() {
+    return jobs.values();
+  }
+
+  /** A job by id, or null. */
+  public Job job(String id) {
+    return jobs.get(id);
+  }
+
+  /** All machines not proven gone. */
+  public Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  /** A machine by name, or null. */
+  public Machine machine(String name) {
+    return machines.get(name);
+  }
+
+  /** True when the machine was deleted in this term. */
+  public boolean isGone(String machine) {
+    return gone.contains(machine);
+  }
+
+  /** The team of a job. */
+  public Team team(JobSpec spec) {
+    return teams.get(spec.team());
+  }
+
+  /** All teams. */
+  public List<Team> teams() {
+    return teams;
+  }
+
+  /** Records that changed since they were committed. */
+  public Collection<Chunk> dirty() {
+    return dirty;
+  }
+
+  /** Jobs whose tasks are all done and whose end is to be committed. */
+  public Collection<Job> ending() {
+    return ending;
+  }
+
+  /** Number of attempts that completed in this term. */
+  public long completed() {
+    return completed;
+  }
+
+  /** Takes an open job that is recorded in the state service. */
+  public Job accept(JobSpec spec, long mark, long now) {
+    Job known = jobs.get(spec.id());
+    if (known != null) {
+      return known;
+    }
+    Job job = new Job(spec, mark, zones.size(), now);
+    for (int t = 0; t < spec.tasks(); t++) {
+      job.pending.enqueue(t);
+    }
+    jobs.put(spec.id(), job);
+    return job;
+  }
+
+  /** Takes what the record of a chunk says, on takeover. */
+  public void restore(Chunk chunk, long mark, BitSet doneInChunk, int high) {
+    Job job = chunk.job;
+    chunk.mark = mark;
+    for (int t = chunk.from(); t < chunk.to(); t++) {
+      job.number[t] = high;
+      if (doneInChunk.get(t - chunk.from())) {
+        job.done.set(t);
+      }
+    }
+    rebuildPending(job);
+  }
+
+  /** Takes a recorded attempt, on takeover: it counts until it is proven gone. */
+  public void restoreAttempt(
+      Job job, int task, int number, Machine machine, long session, long now) {
+    if (task < 0 || task >= job.spec.tasks() || job.live[task] != null || job.done.get(task)) {
+      return;
+    }
+    Attempt a = new Attempt(job, task, number, machine, session, Attempt.Phase.READY, now);
+    job.number[task] = Math.max(job.number[task], number);
+    book(a);
+    // A report of an earlier session must not look like news.
+    if (session > machine.session) {
+      machine.session = session;
+      machine.seq = 0;
+    }
+    rebuildPending(job);
+    if (job.withdrawn) {
+      a.stop(0, now);
+    }
+  }
+
+  /** Call once all chunks of a restored job were taken. */
+  public void restored(Job job) {
+    if (!job.withdrawn && job.allDone()) {
+      ending.add(job);
+    }
+  }
+
+  private static void rebuildPending(Job job) {
+    job.pending.clear();
+    if (job.withdrawn || job.ended) {
+      return;
+    }
+    for (int t = 0; t < job.spec.tasks(); t++) {
+      if (!job.done.get(t) && job.live[t] == null) {
+        job.pending.enqueue(t);
+      }
+    }
+  }
+
+  /** The user withdrew the job: nothing of it starts any more, and what runs is stopped. */
+  public void withdraw(Job job, long now) {
+    if (job.withdrawn || job.ended) {
+      return;
+    }
+    job.withdrawn = true;
+    job.pending.clear();
+    ending.remove(job);
+    for (Attempt a : job.live) {
+      if (a == null) {
+        continue;
+      }
+      if (a.phase == Attempt.Phase.RECORDING) {
+        resolve(a, Outcome.LOST, now); // Its launch was never sent, and never will be.
+      } else {
+        a.stop(0, now);
+      }
+    }
+  }
+
+  /** The job's end is committed. */
+  public void ended(Job job) {
+    job.ended = true;
+    job.pending.clear();
+    ending.remove(job);
+  }
+
+  /** Drops a job of which nothing is left, once its records are deleted. */
+  public void forget(Job job) {
+    jobs.remove(job.spec.id());
+    ending.remove(job);
+    for (Chunk c : job.chunks) {
+      dirty.remove(c);
+    }
+  }
+
+  /** The machine, made known if it is new; null when it is proven gone. */
+  public Machine meet(String name, MachineType type, int zone, boolean spot, long now) {
+    if (gone.contains(name)) {
+      return null;
+    }
+    Machine m = machines.get(name);
+    if (m == null) {
+      m = new Machine(name, type, zone, spot, now);
+      machines.put(name, m);
+    }
+    return m;
+  }
+
+  /** The one place that decides whether a task may start on a machine: null when it may. */
+  public Refusal mayStart(Job job, int task, Machine m, long now) {
+    JobSpec s = job.spec;
+    if (job.withdrawn || job.ended) {
+      return Refusal.OVER;
+    }
+    if (job.done.get(task) || job.live[task] != null) {
+      return Refusal.BUSY;
+    }
+    if (!m.usable() || m.coolUntilMs > now || now - m.reportedMs > freshMs) {
+      return Refusal.MACHINE;
+    }
+    if (!s.allows(m.type.index(), m.zone, m.spot)) {
+      return Refusal.PLACE;
+    }
+    if (!m.free.fits(s)) {
+      return Refusal.ROOM;
+    }
+    if (!team(s).allows(s, 1)) {
+      return Refusal.QUOTA;
+    }
+    if (s.together() && job.liveCount > job.zoneLive[m.zone]) {
+      return Refusal.ZONE;
+    }
+    if (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap()) {
+      return Refusal.ZONE;
+    }
+    return null;
+  }
+
+  /** Makes an attempt; it must be committed before its launch is sent. */
+  public Attempt start(Job job, int task, Machine m, long now) {
+    Refusal no = mayStart(job, task, m, now);
+    if (no != null) {
+      throw new IllegalStateException("start refused: " + no);
+    }
+    Attempt a =
+        new Attempt(job, task, job.number[task] + 1, m, m.session, Attempt.Phase.RECORDING, now);
+    job.number[task] = a.number;
+    book(a);
+    touch(job, task);
+    return a;
+  }
+
+  private void book(Attempt a) {
+    a.job.live[a.task] = a;
+    a.job.liveCount++;
+    a.job.zoneLive[a.machine.zone]++;
+    a.machine.add(a);
+    team(a.job.spec).add(a.job.spec, 1);
+  }
+
+  private void touch(Job job, int task) {
+    Chunk c = job.chunks[task / Chunk.TASKS];
+    c.dirty = true;
+    c.changes++;
+    dirty.add(c);
+  }
+
+  /** The chunk's record is to be written or deleted once more. */
+  public void redo(Chunk c) {
+    touch(c.job, c.from());
+  }
+
+  /** A commit of the chunk as it was at {@code changes} succeeded. */
+  public void committed(Chunk c, long mark, long changes, List<Attempt> recorded) {
+    c.mark = mark;
+    if (c.changes == changes) {
+      c.dirty = false;
+      dirty.remove(c);
+    }
+    for (Attempt a : recorded) {
+      if (a.phase == Attempt.Phase.RECORDING) {
+        a.phase = Attempt.Phase.READY;
+      }
+    }
+  }
+
+  /** Frees what an attempt takes, now that it is proven gone. */
+  public void resolve(Attempt a, Outcome outcome, long now) {
+    if (a.phase == Attempt.Phase.GONE) {
+      return;
+    }
+    Job job = a.job;
+    if (a.phase == Attempt.Phase.RUNNING || a.phase == Attempt.Phase.FLUSHING) {
+      job.runningCount--;
+    }
+    a.phase = Attempt.Phase.GONE;
+    job.live[a.task] = null;
+    job.liveCount--;
+    job.zoneLive[a.machine.zone]--;
+    a.machine.remove(a, now);
+    team(job.spec).add(job.spec, -1);
+    touch(job, a.task);
+    if (outcome == Outcome.DONE && !job.spec.service()) {
+      completed++;
+      job.done.set(a.task);
+      job.failures = 0;
+      if (!job.withdrawn && job.allDone()) {
+        ending.add(job);
+      }
+      return;
+    }
+    switch (outcome) {
+      case ERROR -> {
+        job.failures++;
+        job.failedOn.add(a.machine.name);
+        if (job.failedOn.size() < 3) {
+          a.machine.errorJobs.add(job.spec.id());
+        } else {
+          // It fails wherever it runs: the job is at fault, not the machines.
+          for (Machine m : machines.values()) {
+            m.errorJobs.remove(job.spec.id());
+          }
+        }
+        holdBack(job, now);
+      }
+      case REFUSED, DONE -> {
+        job.failures++;
+        holdBack(job, now);
+      }
+      case NO_ROOM -> a.machine.coolUntilMs = now + 3000;
+      default -> {}
+    }
+    if (!job.withdrawn && !job.ended) {
+      if (job.pending.isEmpty()) {
+        job.waitingSinceMs = now;
+      }
+      job.pending.enqueueFirst(a.task);
+    }
+  }
+
+  /** A job that keeps failing is tried again ever more seldom, never in a tight loop. */
+  private static void holdBack(Job job, long now) {
+    long wait = Math.min(60_000L, 250L << Math.min(8, job.failures));
+    job.notBeforeMs = Math.max(job.notBeforeMs, now + wait);
+  }
+
+  /**
+   * Takes a worker's report and answers with the orders for it.
+   *
+   * @param mayLaunch false while the leader cannot reach the state service
+   * @return null when the message is older than one seen before and must be ignored
+   */
+  public List<Order> report(Machine m, WorkerReport r, boolean mayLaunch, long now) {
+    if (r.session() < m.session || (r.session() == m.session && r.seq() <= m.seq)) {
+      return null;
+    }
+    if (r.session() > m.session) {
+      for (Attempt a : new ArrayList<>(m.attempts)) {
+        if (a.session < r.session()) {
+          resolve(a, Outcome.LOST, now);
+        }
+      }
+    }
+    m.session = r.session();
+    m.seq = r.seq();
+    m.tokenSeen = Math.max(m.tokenSeen, r.token());
+    m.reportedMs = now;
+    m.address = r.address();
+    if (r.noticeS() >= 0) {
+      m.noticeMs = now + (long) (r.noticeS() * 1000);
+      m.draining = true;
+    }
+    List<Order> orders = new ArrayList<>();
+    ObjectOpenHashSet<Attempt> listed = new ObjectOpenHashSet<>();
+    for (WorkerReport.Entry e : r.entries()) {
+      Job job = jobs.get(e.job());
+      Attempt a = null;
+      if (job != null && e.task() >= 0 && e.task() < job.spec.tasks()) {
+        a = job.live[e.task()];
+        if (a != null && (a.number != e.attempt() || a.machine != m || a.session != r.session())) {
+          a = null;
+        }
+      }
+      if (a == null) {
+        orphan(e, job, orders);
+      } else {
+        listed.add(a);
+        see(a, e, now, orders);
+      }
+    }
+    for (Attempt a : new ArrayList<>(m.attempts)) {
+      if (a.session != r.session() || listed.contains(a)) {
+        continue;
+      }
+      boolean fresh = r.token() >= term;
+      if (a.phase == Attempt.Phase.READY) {
+        if (a.stopping()) {
+          // Launches travel in report responses only, so a newer report of a worker that obeys
+          // this term and does not list the attempt proves that it never started.
+          if (fresh) {
+            resolve(a, Outcome.LOST, now);
+          }
+        } else if (mayLaunch) {
+          orders.add(order(Order.Kind.LAUNCH, a, 0));
+        }
+      } else if (a.phase != Attempt.Phase.RECORDING && fresh) {
+        resolve(a, Outcome.LOST, now);
+      }
+    }
+    return orders;
+  }
+
+  private void orphan(WorkerReport.Entry e, Job job, List<Order> orders) {
+    if (e.state() != WorkerReport.State.EXITED) {
+      orders.add(new Order(Order.Kind.STOP, e.job(), e.task(), e.attempt(), 0));
+      return;
+    }
+    boolean uncommitted =
+        job != null
+            && e.task() >= 0
+            && e.task() < job.spec.tasks()
+            && job.chunks[e.task() / Chunk.TASKS].dirty;
+    if (!uncommitted) {
+      orders.add(new Order(Order.Kind.CLEAR, e.job(), e.task(), e.attempt(), 0));
+    }
+  }
+
+  private void see(Attempt a, WorkerReport.Entry e, long now, List<Order> orders) {
+    boolean ran = a.phase == Attempt.Phase.RUNNING || a.phase == Attempt.Phase.FLUSHING;
+    switch (e.state()) {
+      case PULLING -> a.phase = Attempt.Phase.PULLING;
+      case RUNNING, FLUSHING -> {
+        if (!ran) {
+          a.job.runningCount++;
+          a.runningSinceMs = now;
+          a.machine.useImage(a.job.spec.image(), a.job.spec.imageGb());
+        }
+        a.phase =
+            e.state() == WorkerReport.State.RUNNING
+                ? Attempt.Phase.RUNNING
+                : Attempt.Phase.FLUSHING;
+      }
+      case EXITED -> {
+        resolve(a, outcome(e.why()), now);
+        return;
+      }
+    }
+    if (a.stopping() && (a.phase != Attempt.Phase.FLUSHING || a.stopGraceS == 0)) {
+      orders.add(order(Order.Kind.STOP, a, a.stopGraceS));
+    }
+  }
+
+  private static Outcome outcome(String why) {
+    return switch (why == null ? "" : why) {
+      case "done" -> Outcome.DONE;
+      case "stopped" -> Outcome.STOPPED;
+      case "no_room" -> Outcome.NO_ROOM;
+      case "in_use", "no_such" -> Outcome.REFUSED;
+      default -> Outcome.ERROR;
+    };
+  }
+
+  private static Order order(Order.Kind kind, Attempt a, double graceS) {
+    return new Order(kind, a.job.spec.id(), a.task, a.number, graceS);
+  }
+
+  /** The machine and all on it are proven gone. */
+  public void machineGone(Machine m, long now) {
+    for (Attempt a : new ArrayList<>(m.attempts)) {
+      resolve(a, Outcome.LOST, now);
+    }
+    machines.remove(m.name);
+    gone.add(m.name);
+  }
+
+  /** The list says the machine failed: its tasks are gone, the name stays until it is deleted. */
+  public void machineFailed(Machine m, long now) {
+    m.failed = true;
+    for (Attempt a : new ArrayList<>(m.attempts)) {
+      resolve(a, Outcome.LOST, now);
+    }
+  }
+
+  /**
+   * Frees the attempts of workers whose leases must have run out: the worker had seen this term, so
+   * only this leader's answers renewed its lease, and the last one is long enough ago.
+   */
+  public void expireSilent(long now) {
+    for (Machine m : machines.values()) {
+      if (!m.attempts.isEmpty()
+          && m.tokenSeen >= term
+          && m.answeredMs >= 0
+          && now - m.answeredMs > leaseMs) {
+        for (Attempt a : new ArrayList<>(m.attempts)) {
+          if (a.phase != Attempt.Phase.RECORDING) {
+            resolve(a, Outcome.LOST, now);
+          }
+        }
+      }
+    }
+  }
+
+  /** Asks for a stop of an attempt so that its machine can drain or another job gets room. */
+  public void stop(Attempt a, double graceS, long now) {
+    a.stop(graceS, now);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -0,0 +1,136 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.ints.Int2DoubleLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+
+/** A rented machine as the leader knows it. */
+public final class Machine {
+  /** The cloud's name for it. */
+  public final String name;
+
+  /** Its type, zone and kind. */
+  public final MachineType type;
+
+  /** Zone index. */
+  public final int zone;
+
+  /** True for a spot machine. */
+  public final boolean spot;
+
+  /** Where its worker listens, once known. */
+  public String address = "";
+
+  /** Session and sequence of the newest message seen; 0 before the first one. */
+  public long session;
+
+  /** Sequence of the newest message within the session. */
+  public long seq;
+
+  /** Highest token the worker said it has seen. */
+  public long tokenSeen;
+
+  /** When this leader's newest report of it came, or -1. */
+  public long reportedMs = -1;
+
+  /** When this leader last answered it, which may have renewed its lease, or -1. */
+  public long answeredMs = -1;
+
+  /** When it was rented or first seen. */
+  public long sinceMs;
+
+  /** When the cloud will take it, or 0. */
+  public long noticeMs;
+
+  /** No new work goes to it. */
+  public boolean draining;
+
+  /** A delete request is to be sent, or was sent and not yet answered. */
+  public boolean returning;
+
+  /** The list said it has failed. */
+  public boolean failed;
+
+  /** No new work before this time, after it refused a task. */
+  long coolUntilMs;
+
+  /** Since when it holds nothing, or -1. */
+  public long emptySinceMs;
+
+  final ObjectLinkedOpenHashSet<Attempt> attempts = new ObjectLinkedOpenHashSet<>();
+  final Room free;
+  final Int2DoubleLinkedOpenHashMap images = new Int2DoubleLinkedOpenHashMap();
+  final ObjectOpenHashSet<String> errorJobs = new ObjectOpenHashSet<>();
+
+  Machine(String name, MachineType type, int zone, boolean spot, long now) {
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.free = new Room(type.cpus(), type.cards(), type.memGb());
+    this.sinceMs = now;
+    this.emptySinceMs = now;
+  }
+
+  /** True once a report of this leader's term came and work may go to it. */
+  public boolean usable() {
+    return reportedMs >= 0 && !draining && !returning && !failed;
+  }
+
+  /** Its unresolved attempts. */
+  public Iterable<Attempt> attempts() {
+    return attempts;
+  }
+
+  /** True when it has no unresolved attempt. */
+  public boolean empty() {
+    return attempts.isEmpty();
+  }
+
+  /** True when the image was fetched here and is most likely still cached. */
+  public boolean hasImage(int image) {
+    return images.containsKey(image);
+  }
+
+  /** Remembers an image use; the least recently used ones go when the cache is full. */
+  void useImage(int image, double gb) {
+    images.putAndMoveToLast(image, gb);
+    double sum = 0;
+    for (double g : images.values()) {
+      sum += g;
+    }
+    while (sum > type.cacheGb() && images.size() > 1) {
+      sum -= images.removeFirstDouble();
+    }
+  }
+
+  /** Booked share of the scarcest resource. */
+  public double booked() {
+    double b = 1 - free.cpus / type.cpus();
+    if (type.memGb() > 0) {
+      b = Math.max(b, 1 - free.memGb / type.memGb());
+    }
+    if (type.cards() > 0) {
+      b = Math.max(b, 1 - free.cards / type.cards());
+    }
+    return b;
+  }
+
+  void add(Attempt a) {
+    attempts.add(a);
+    free.add(a.job.spec, -1);
+    emptySinceMs = -1;
+  }
+
+  void remove(Attempt a, long now) {
+    attempts.remove(a);
+    free.add(a.job.spec, 1);
+    if (attempts.isEmpty()) {
+      // Start again from exact figures so that rounding never adds up.
+      free.cpus = type.cpus();
+      free.cards = type.cards();
+      free.memGb = type.memGb();
+      emptySinceMs = now;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Names.java
@@ -0,0 +1,42 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Interns names at the door so that everything inside works on dense indices. */
+public final class Names {
+  private final Object2IntOpenHashMap<String> index = new Object2IntOpenHashMap<>();
+  private final List<String> names = new ArrayList<>();
+
+  /** An empty table. */
+  public Names() {
+    index.defaultReturnValue(-1);
+  }
+
+  /** The index of a name, which is given one when it is new. */
+  public int intern(String name) {
+    int i = index.getInt(name);
+    if (i < 0) {
+      i = names.size();
+      index.put(name, i);
+      names.add(name);
+    }
+    return i;
+  }
+
+  /** The index of a name, or -1 when it was never seen. */
+  public int find(String name) {
+    return index.getInt(name);
+  }
+
+  /** The name behind an index. */
+  public String name(int i) {
+    return names.get(i);
+  }
+
+  /** How many names there are. */
+  public int size() {
+    return names.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -0,0 +1,244 @@
+package org.mallowroad.core;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Places waiting tasks first-fit: by priority, then teams within their guarantee, then age or
+ * deadline. Each placement asks the {@link Ledger}; nothing starts that it refuses.
+ */
+public final class Placement {
+  /** A task that waits this long for room may preempt others. */
+  private static final long PREEMPT_AFTER_MS = 1_000;
+
+  private static final long GUARANTEE_AFTER_MS = 4_000;
+
+  private final Ledger ledger;
+  private Machine[] order = new Machine[0];
+  private final List<Job> queue = new ArrayList<>();
+
+  /** A placement over a ledger. */
+  public Placement(Ledger ledger) {
+    this.ledger = ledger;
+  }
+
+  /** A waiting job's place in the queue, computed anew for each pass. */
+  private record Rank(Job job, boolean guaranteed, double dueMs) {}
+
+  /** Jobs with tasks that wait, in the order in which they get room. */
+  public List<Job> queue(long now) {
+    double[] cpus = new double[ledger.teams().size()];
+    double[] cards = new double[ledger.teams().size()];
+    List<Job> open = new ArrayList<>();
+    for (Job j : ledger.jobs()) {
+      if (!j.withdrawn && !j.ended) {
+        open.add(j);
+      }
+    }
+    open.sort(
+        Comparator.comparingLong((Job j) -> j.spec.submittedMs()).thenComparing(j -> j.spec.id()));
+    List<Rank> ranks = new ArrayList<>();
+    for (Job j : open) {
+      JobSpec s = j.spec;
+      int left = s.tasks() - j.doneCount();
+      cpus[s.team()] += left * s.cpus();
+      cards[s.team()] += left * s.cards();
+      if (j.waiting()) {
+        Team team = ledger.team(s);
+        boolean guaranteed =
+            cpus[s.team()] <= team.cpus + Room.EPS && cards[s.team()] <= team.cards + Room.EPS;
+        // Without a deadline a job counts as due after three times its estimate.
+        double due = s.dueS() > 0 ? s.dueS() : 3 * s.estimateS() + 60;
+        ranks.add(new Rank(j, guaranteed, s.submittedMs() + due * 1000));
+      }
+    }
+    ranks.sort(
+        Comparator.comparingInt((Rank r) -> r.job.spec.priority())
+            .thenComparingInt(r -> r.guaranteed ? 0 : 1)
+            .thenComparingDouble(Rank::dueMs)
+            .thenComparing(r -> r.job.spec.id()));
+    queue.clear();
+    for (Rank r : ranks) {
+      queue.add(r.job);
+    }
+    return queue;
+  }
+
+  /**
+   * Places what can be placed now.
+   *
+   * @return the attempts made, all still to be committed
+   */
+  public List<Attempt> place(long now) {
+    List<Attempt> made = new ArrayList<>();
+    if (!anyWaiting()) {
+      return made;
+    }
+    sortMachines();
+    for (Job job : queue(now)) {
+      if (job.notBeforeMs > now) {
+        continue;
+      }
+      while (!job.pending.isEmpty()) {
+        int task = job.pending.firstInt();
+        Machine m = find(job, task, now);
+        if (m == null) {
+          preempt(job, now);
+          break;
+        }
+        job.pending.dequeueInt();
+        made.add(ledger.start(job, task, m, now));
+        m.useImage(job.spec.image(), job.spec.imageGb());
+      }
+    }
+    return made;
+  }
+
+  private boolean anyWaiting() {
+    for (Job j : ledger.jobs()) {
+      if (j.waiting()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void sortMachines() {
+    order = ledger.machines().toArray(new Machine[0]);
+    // Small and cheap machines first: the large ones stay whole for the tasks that need them.
+    Arrays.sort(
+        order,
+        Comparator.comparingDouble((Machine m) -> m.type.cpus())
+            .thenComparingDouble(m -> m.type.price(m.spot))
+            .thenComparing(m -> m.name));
+  }
+
+  private Machine find(Job job, int task, long now) {
+    Machine best = null;
+    for (Machine m : order) {
+      if (job.failedOn.contains(m.name) && job.failedOn.size() < 3) {
+        continue;
+      }
+      if (ledger.mayStart(job, task, m, now) != null) {
+        continue;
+      }
+      if (m.hasImage(job.spec.image())) {
+        return m;
+      }
+      if (best == null) {
+        best = m;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Stops less important work for a job that found no room: work of lower priority, or work of the
+   * same or lower priority that another team runs beyond its guarantee while this job's team is
+   * within its own. The work that loses least is stopped, and no more than one task needs.
+   */
+  private void preempt(Job job, long now) {
+    JobSpec s = job.spec;
+    Team team = ledger.team(s);
+    long waited = now - job.waitingSinceMs;
+    if (waited < PREEMPT_AFTER_MS || !team.allows(s, 1)) {
+      return;
+    }
+    boolean guarantee = waited >= GUARANTEE_AFTER_MS && team.guarantees(s);
+    List<Attempt> best = null;
+    double bestLoss = Double.MAX_VALUE;
+    for (Machine m : order) {
+      if (!m.usable() || !s.allows(m.type.index(), m.zone, m.spot) || !m.type.fits(s)) {
+        continue;
+      }
+      if (s.together() && job.liveCount > job.zoneLive[m.zone]) {
+        continue;
+      }
+      if (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap()) {
+        continue;
+      }
+      Room room = new Room(m.free.cpus, m.free.cards, m.free.memGb);
+      List<Attempt> victims = new ArrayList<>();
+      double loss = 0;
+      List<Attempt> candidates = new ArrayList<>();
+      for (Attempt a : m.attempts) {
+        if (a.stopping()) {
+          room.add(a.job.spec, 1);
+        } else if (stoppable(a, job, guarantee)) {
+          candidates.add(a);
+        }
+      }
+      if (room.fits(s)) {
+        return; // What is stopping already will make room.
+      }
+      candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
+      for (Attempt a : candidates) {
+        if (room.fits(s)) {
+          break;
+        }
+        victims.add(a);
+        room.add(a.job.spec, 1);
+        loss += loss(a, now);
+      }
+      if (room.fits(s) && !victims.isEmpty() && loss < bestLoss) {
+        best = victims;
+        bestLoss = loss;
+      }
+    }
+    if (best != null) {
+      for (Attempt a : best) {
+        ledger.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0, now);
+      }
+    }
+  }
+
+  /**
+   * Empties machines that the cloud is about to take: tasks that can save do so, and tasks that are
+   * not expected to finish in time are stopped so that they start again elsewhere at once.
+   */
+  public void drain(long now) {
+    for (Machine m : ledger.machines()) {
+      if (m.noticeMs == 0) {
+        continue;
+      }
+      double left = (m.noticeMs - now) / 1000.0;
+      for (Attempt a : m.attempts) {
+        JobSpec s = a.job.spec;
+        if (a.stopping() || a.phase == Attempt.Phase.RECORDING) {
+          continue;
+        }
+        if (s.checkpointS() > 0) {
+          ledger.stop(a, s.saveS(), now);
+        } else if (a.phase != Attempt.Phase.RUNNING
+            || s.service()
+            || s.estimateS() - (now - a.runningSinceMs) / 1000.0 > left) {
+          ledger.stop(a, 0, now);
+        }
+      }
+    }
+  }
+
+  private boolean stoppable(Attempt a, Job by, boolean guarantee) {
+    if (a.phase == Attempt.Phase.RECORDING || a.phase == Attempt.Phase.READY) {
+      return false;
+    }
+    int theirs = a.job.spec.priority();
+    int ours = by.spec.priority();
+    if (theirs > ours) {
+      return true;
+    }
+    return guarantee
+        && theirs == ours
+        && a.job.spec.team() != by.spec.team()
+        && ledger.team(a.job.spec).borrows(a.job.spec);
+  }
+
+  /** CPU seconds lost when the attempt is stopped now. */
+  private static double loss(Attempt a, long now) {
+    double ran = (now - a.sinceMs) / 1000.0;
+    double cp = a.job.spec.checkpointS();
+    return (cp > 0 ? Math.min(ran, cp) : ran) * Math.max(0.1, a.job.spec.cpus());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Room.java
@@ -0,0 +1,35 @@
+package org.mallowroad.core;
+
+/** Free or taken amounts of the three resources of a machine. */
+public final class Room {
+  /** Amounts are decimal numbers, so sums are compared with this slack. */
+  public static final double EPS = 1e-6;
+
+  /** Amounts. */
+  public double cpus;
+
+  /** Accelerator cards. */
+  public double cards;
+
+  /** Memory. */
+  public double memGb;
+
+  /** A room of the given size. */
+  public Room(double cpus, double cards, double memGb) {
+    this.cpus = cpus;
+    this.cards = cards;
+    this.memGb = memGb;
+  }
+
+  /** True when one task of the job fits. */
+  public boolean fits(JobSpec job) {
+    return job.cpus() <= cpus + EPS && job.cards() <= cards + EPS && job.memGb() <= memGb + EPS;
+  }
+
+  /** Adds what {@code n} tasks of the job take; negative to take away. */
+  public void add(JobSpec job, int n) {
+    cpus += n * job.cpus();
+    cards += n * job.cards();
+    memGb += n * job.memGb();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/Team.java
@@ -0,0 +1,55 @@
+package org.mallowroad.core;
+
+/** A team's guarantee and limit, and what its unresolved attempts take. */
+public final class Team {
+  /** Name, guarantee and limit as set. */
+  public final String name;
+
+  final double cpus;
+  final double cards;
+  final double cpusMax;
+  final double cardsMax;
+  double usedCpus;
+  double usedCards;
+
+  /** A team as the settings give it. */
+  public Team(String name, double cpus, double cards, double cpusMax, double cardsMax) {
+    this.name = name;
+    this.cpus = cpus;
+    this.cards = cards;
+    this.cpusMax = cpusMax;
+    this.cardsMax = cardsMax;
+  }
+
+  /** True when {@code n} more tasks of the job stay within the limit. */
+  public boolean allows(JobSpec job, int n) {
+    return usedCpus + n * job.cpus() <= cpusMax + Room.EPS
+        && usedCards + n * job.cards() <= cardsMax + Room.EPS;
+  }
+
+  /** True when {@code n} tasks of the job alone stay within the limit. */
+  public boolean couldRun(JobSpec job, int n) {
+    return n * job.cpus() <= cpusMax + Room.EPS && n * job.cards() <= cardsMax + Room.EPS;
+  }
+
+  /** True when one more task of the job keeps the team within its guarantee. */
+  boolean guarantees(JobSpec job) {
+    return usedCpus + job.cpus() <= cpus + Room.EPS && usedCards + job.cards() <= cards + Room.EPS;
+  }
+
+  /** True when the team keeps its guarantee in full without one task of the job. */
+  boolean borrows(JobSpec job) {
+    return usedCpus - job.cpus() >= cpus - Room.EPS
+        && (job.cards() == 0 || usedCards - job.cards() >= cards - Room.EPS);
+  }
+
+  void add(JobSpec job, int n) {
+    usedCpus += n * job.cpus();
+    usedCards += n * job.cards();
+  }
+
+  /** CPUs that unresolved attempts take. */
+  public double usedCpus() {
+    return usedCpus;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -0,0 +1,278 @@
+package org.mallowroad.election;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.SplittableRandom;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds the one leader: key {@code leader} lives on a lease, and the lasting counter {@code term}
+ * rises in the same transaction. Whoever writes as leader puts the mark of {@code leader} into the
+ * conditions, so a deposed leader's writes fail whatever it believes.
+ */
+public final class Election {
+  /** The key that names the leader. */
+  public static final String LEADER = "leader";
+
+  private static final String TERM = "term";
+  private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+  private static final long LIFE_MS = 3_000;
+  private static final long RENEW_MS = 700;
+  private static final long RENEW_TIMEOUT_MS = 1_000;
+  private static final long WATCH_MS = 10_000;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final String node;
+  private final Listener listener;
+  private final SplittableRandom random;
+
+  private String leader;
+  private long seenTerm;
+  private boolean leading;
+  private long term;
+  private long mark;
+  private long lease;
+  private boolean campaigning;
+  private boolean renewing;
+  private long renewedMs;
+  private Loop.Timer renewal;
+
+  /** Told of this node's own office. */
+  public interface Listener {
+    /** This node leads from now on. */
+    void elected(long term, long mark);
+
+    /** This node no longer leads. */
+    void deposed();
+  }
+
+  /** An election among the nodes that share a state service. */
+  public Election(Loop loop, StateStore state, String node, long seed, Listener listener) {
+    this.loop = loop;
+    this.state = state;
+    this.node = node;
+    this.random = new SplittableRandom(seed);
+    this.listener = listener;
+  }
+
+  /** Begins. */
+  public void start() {
+    look();
+  }
+
+  /** Name of the leader as last seen, or null. */
+  public String leader() {
+    return leader;
+  }
+
+  /** The highest term seen anywhere. */
+  public long seenTerm() {
+    return Math.max(seenTerm, term);
+  }
+
+  /** True while this node leads as far as it knows. */
+  public boolean leading() {
+    return leading;
+  }
+
+  /** When the lease was last renewed (the renewal's sending), on the steady clock. */
+  public long renewedMs() {
+    return renewedMs;
+  }
+
+  private void look() {
+    state.get(
+        LEADER,
+        (result, item) -> {
+          if (result != Result.OK) {
+            loop.after(300, this::look);
+            return;
+          }
+          saw(item.value(), item.mark());
+          if (item.mark() > 0) {
+            watch(item.mark());
+          } else {
+            campaign();
+            loop.after(400 + random.nextInt(200), this::look);
+          }
+        });
+  }
+
+  private void watch(long from) {
+    state.follow(
+        LEADER,
+        from,
+        WATCH_MS,
+        (result, events, revision) -> {
+          if (result != Result.OK) {
+            loop.after(200, this::look);
+            return;
+          }
+          boolean absent = false;
+          for (StateStore.Item e : events) {
+            if (e.key().equals(LEADER)) {
+              saw(e.value(), e.mark());
+              absent = e.value() == null;
+            }
+          }
+          if (absent) {
+            // The others try at the same moment; one transaction wins, the others read its result.
+            campaign();
+            loop.after(100 + random.nextInt(200), this::look);
+          } else {
+            watch(revision);
+          }
+        });
+  }
+
+  private void saw(JsonNode value, long seenMark) {
+    if (value == null) {
+      leader = null;
+      if (leading) {
+        LOG.warn("event=lease_lost term={}", term);
+        stepDown();
+      }
+      return;
+    }
+    leader = value.path("node").asText();
+    seenTerm = Math.max(seenTerm, value.path("term").asLong());
+    if (leading && seenMark > mark) {
+      stepDown();
+    }
+  }
+
+  private void campaign() {
+    if (leading || campaigning) {
+      return;
+    }
+    campaigning = true;
+    long sent = loop.now();
+    state.lease(
+        LIFE_MS,
+        (result, id) -> {
+          if (result != Result.OK) {
+            campaigning = false;
+            return;
+          }
+          state.get(
+              TERM,
+              (got, item) -> {
+                if (got != Result.OK) {
+                  campaigning = false;
+                  return;
+                }
+                long last = item.value() == null ? 0 : item.value().path("n").asLong();
+                run(id, Math.max(last, seenTerm) + 1, item.mark(), sent);
+              });
+        });
+  }
+
+  private void run(long id, long newTerm, long termMark, long sent) {
+    ObjectNode who = org.mallowroad.wire.Json.object();
+    who.put("node", node);
+    who.put("term", newTerm);
+    ObjectNode count = org.mallowroad.wire.Json.object();
+    count.put("n", newTerm);
+    Txn txn =
+        new Txn().given(LEADER, 0).given(TERM, termMark).put(LEADER, who, id).put(TERM, count);
+    state.run(
+        txn,
+        (result, revision, failed) -> {
+          if (result == Result.OK) {
+            campaigning = false;
+            elected(newTerm, revision, id, sent);
+          } else if (result == Result.UNKNOWN) {
+            settle(id, newTerm, sent);
+          } else {
+            campaigning = false;
+          }
+        });
+  }
+
+  /** An election whose outcome is unknown is settled by reading who leads. */
+  private void settle(long id, long newTerm, long sent) {
+    state.get(
+        LEADER,
+        (result, item) -> {
+          if (result != Result.OK) {
+            if (loop.now() - sent > 2 * LIFE_MS) {
+              campaigning = false;
+            } else {
+              loop.after(200, () -> settle(id, newTerm, sent));
+            }
+            return;
+          }
+          campaigning = false;
+          if (item.value() != null
+              && item.value().path("node").asText().equals(node)
+              && item.value().path("term").asLong() == newTerm) {
+            elected(newTerm, item.mark(), id, sent);
+          }
+        });
+  }
+
+  private void elected(long newTerm, long newMark, long id, long sent) {
+    if (leading) {
+      return;
+    }
+    leading = true;
+    leader = node;
+    term = newTerm;
+    mark = newMark;
+    lease = id;
+    renewedMs = sent;
+    LOG.info("event=elected term={}", term);
+    renewal = loop.every(RENEW_MS, this::renew);
+    listener.elected(term, mark);
+  }
+
+  private void renew() {
+    if (!leading || renewing) {
+      return;
+    }
+    renewing = true;
+    long sent = loop.now();
+    long of = lease;
+    state.extend(
+        of,
+        RENEW_TIMEOUT_MS,
+        (result, id) -> {
+          renewing = false;
+          if (!leading || of != lease) {
+            return;
+          }
+          if (result == Result.OK) {
+            renewedMs = sent;
+          } else if (result == Result.NO) {
+            LOG.warn("event=lease_over term={}", term);
+            stepDown();
+          }
+        });
+  }
+
+  /** Gives the office up: a write failed on the leader's mark, or a higher term showed. */
+  public void stepDown() {
+    if (!leading) {
+      return;
+    }
+    leading = false;
+    leader = null;
+    renewal.cancel();
+    LOG.warn("event=deposed term={}", term);
+    listener.deposed();
+  }
+
+  /** A higher term was seen in a message: this node's own office is over. */
+  public void sawTerm(long other) {
+    seenTerm = Math.max(seenTerm, other);
+    if (leading && other > term) {
+      stepDown();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/net/Budget.java
@@ -0,0 +1,44 @@
+package org.mallowroad.net;
+
+/** A token bucket that keeps requests below an outside party's limit. */
+public final class Budget {
+  private final double perMs;
+  private final double burst;
+  private double tokens;
+  private long lastMs;
+
+  /** A full bucket. */
+  public Budget(double perSecond, double burst, long now) {
+    this.perMs = perSecond / 1000;
+    this.burst = burst;
+    this.tokens = burst;
+    this.lastMs = now;
+  }
+
+  private void refill(long now) {
+    tokens = Math.min(burst, tokens + (now - lastMs) * perMs);
+    lastMs = now;
+  }
+
+  /** Takes {@code n} tokens if they are there. */
+  public boolean take(double n, long now) {
+    refill(now);
+    if (tokens < n) {
+      return false;
+    }
+    tokens -= n;
+    return true;
+  }
+
+  /** Takes {@code n} tokens even if that leaves a debt, for what must not wait. */
+  public void force(double n, long now) {
+    refill(now);
+    tokens -= n;
+  }
+
+  /** Milliseconds until {@code n} tokens are there. */
+  public long waitMs(double n, long now) {
+    refill(now);
+    return tokens >= n ? 0 : (long) Math.ceil((n - tokens) / perMs);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/net/HttpCaller.java
@@ -0,0 +1,259 @@
+package org.mallowroad.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.http.HttpClientProvider;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.mallowroad.config.Settings.Endpoint;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** Sends requests to one endpoint over a small pool of kept connections. */
+public final class HttpCaller {
+  private static final HttpString CONTENT_TYPE = Headers.CONTENT_TYPE;
+  private static final int MAX_IDLE = 8;
+  private static final int MAX_BODY = 32 << 20;
+
+  private final Loop loop;
+  private final ByteBufferPool buffers;
+  private final HttpClientProvider provider = new HttpClientProvider();
+  private final URI uri;
+  private final String host;
+  private final String contentType;
+  private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+  private int open;
+  private final int maxOpen;
+
+  /** What comes of a request; exactly one method is called, once. */
+  public interface Answer {
+    /** A complete response. */
+    void answered(int status, byte[] body);
+
+    /**
+     * No complete response.
+     *
+     * @param sent false when it is certain that the other side did not get the request
+     */
+    void failed(boolean sent);
+  }
+
+  /** A caller for an endpoint with at most {@code maxOpen} connections. */
+  public HttpCaller(
+      Loop loop, ByteBufferPool buffers, Endpoint endpoint, String contentType, int maxOpen) {
+    this.loop = loop;
+    this.buffers = buffers;
+    this.uri = URI.create("http://" + endpoint);
+    this.host = endpoint.toString();
+    this.contentType = contentType;
+    this.maxOpen = maxOpen;
+  }
+
+  /** Sends a request; with no answer in time its connection is closed. */
+  public void call(HttpString method, String path, byte[] body, long timeoutMs, Answer answer) {
+    Call call = new Call(method, path, body, answer);
+    ClientConnection c;
+    while ((c = idle.pollFirst()) != null) {
+      if (c.isOpen()) {
+        call.start(timeoutMs);
+        call.send(c);
+        return;
+      }
+    }
+    if (open >= maxOpen) {
+      answer.failed(false);
+      return;
+    }
+    call.start(timeoutMs);
+    open++;
+    call.connecting = true;
+    provider.connect(
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientConnection connection) {
+            call.connecting = false;
+            connection.getCloseSetter().set(ch -> open--);
+            if (call.over) {
+              IoUtils.safeClose(connection);
+            } else {
+              call.send(connection);
+            }
+          }
+
+          @Override
+          public void failed(IOException e) {
+            open--;
+            call.connecting = false;
+            call.fail();
+          }
+        },
+        null,
+        uri,
+        loop.thread(),
+        null,
+        buffers,
+        OptionMap.EMPTY);
+  }
+
+  private final class Call {
+    private final HttpString method;
+    private final String path;
+    private final byte[] body;
+    private final Answer answer;
+    private Loop.Timer timer;
+    private ClientConnection connection;
+    private boolean connecting;
+    private boolean sent;
+    private boolean over;
+
+    Call(HttpString method, String path, byte[] body, Answer answer) {
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.answer = answer;
+    }
+
+    void start(long timeoutMs) {
+      timer = loop.after(timeoutMs, this::fail);
+    }
+
+    void send(ClientConnection c) {
+      connection = c;
+      sent = true;
+      ClientRequest r = new ClientRequest().setMethod(method).setPath(path);
+      r.getRequestHeaders().put(Headers.HOST, host);
+      if (body != null) {
+        r.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        r.getRequestHeaders().put(CONTENT_TYPE, contentType);
+      }
+      c.sendRequest(
+          r,
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange x) {
+              x.setResponseListener(
+                  new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientExchange done) {
+                      read(done);
+                    }
+
+                    @Override
+                    public void failed(IOException e) {
+                      fail();
+                    }
+                  });
+              write(x);
+            }
+
+            @Override
+            public void failed(IOException e) {
+              fail();
+            }
+          });
+    }
+
+    private void write(ClientExchange x) {
+      StreamSinkChannel ch = x.getRequestChannel();
+      ByteBuffer left = ByteBuffer.wrap(body == null ? new byte[0] : body);
+      ChannelListener<StreamSinkChannel> writer =
+          channel -> {
+            try {
+              while (left.hasRemaining()) {
+                if (channel.write(left) == 0) {
+                  channel.resumeWrites();
+                  return;
+                }
+              }
+              channel.shutdownWrites();
+              if (channel.flush()) {
+                channel.suspendWrites();
+              } else {
+                channel.resumeWrites();
+              }
+            } catch (IOException e) {
+              fail();
+            }
+          };
+      ch.getWriteSetter().set(writer);
+      writer.handleEvent(ch);
+    }
+
+    private void read(ClientExchange x) {
+      StreamSourceChannel ch = x.getResponseChannel();
+      int status = x.getResponse().getResponseCode();
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      ChannelListener<StreamSourceChannel> reader =
+          channel -> {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+              ByteBuffer b = pooled.getBuffer();
+              while (true) {
+                b.clear();
+                int n = channel.read(b);
+                if (n == 0) {
+                  channel.resumeReads();
+                  return;
+                }
+                if (n < 0) {
+                  finish(status, out.toByteArray());
+                  return;
+                }
+                b.flip();
+                byte[] part = new byte[b.remaining()];
+                b.get(part);
+                out.write(part, 0, part.length);
+                if (out.size() > MAX_BODY) {
+                  fail();
+                  return;
+                }
+              }
+            } catch (IOException e) {
+              fail();
+            }
+          };
+      ch.getReadSetter().set(reader);
+      reader.handleEvent(ch);
+    }
+
+    private void finish(int status, byte[] bytes) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel();
+      ClientConnection c = connection;
+      // The exchange is closed once this listener returns; only then may the next one begin.
+      loop.soon(
+          () -> {
+            if (c.isOpen() && idle.size() < MAX_IDLE) {
+              idle.addFirst(c);
+            } else {
+              IoUtils.safeClose(c);
+            }
+          });
+      answer.answered(status, bytes);
+    }
+
+    private void fail() {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel();
+      IoUtils.safeClose(connection);
+      answer.failed(sent);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -0,0 +1,370 @@
+package org.mallowroad.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Loop;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The state service's calls, each with exactly one outcome. */
+public final class StateStore {
+  private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
+  private static final long TIMEOUT_MS = 1500;
+
+  private final Loop loop;
+  private final HttpCaller caller;
+  private final HttpCaller follower;
+  private long contactMs = Long.MIN_VALUE / 2;
+  private long wrong;
+
+  /** How a call went. */
+  public enum Result {
+    /** Done, or found. */
+    OK,
+    /** A condition failed (409), or nothing there (404). */
+    NO,
+    /** Certainly not executed. */
+    NOT_DONE,
+    /** May have been executed, or may be later. */
+    UNKNOWN
+  }
+
+  /** A key with its value and version; version 0 and no value when it does not exist. */
+  public record Item(String key, JsonNode value, long mark) {}
+
+  /** An answer to a read. */
+  public interface Got {
+    /** With {@link Result#OK} the item (mark 0 when absent), else null. */
+    void got(Result result, Item item);
+  }
+
+  /** An answer to a transaction. */
+  public interface Ended {
+    /** With {@link Result#OK} the revision; with {@link Result#NO} the keys that failed. */
+    void ended(Result result, long revision, List<String> failed);
+  }
+
+  /** An answer to a listing. */
+  public interface Listed {
+    /** With {@link Result#OK} all items and the revision of the first page. */
+    void listed(Result result, List<Item> items, long revision);
+  }
+
+  /** An answer to a lease call. */
+  public interface Leased {
+    /** With {@link Result#OK} the lease. */
+    void leased(Result result, long lease);
+  }
+
+  /** An answer to a watch. */
+  public interface Followed {
+    /** NO means the revision is too old and the keys must be read again. */
+    void followed(Result result, List<Item> events, long revision);
+  }
+
+  /** Over callers for ordinary calls and for watches, so that watches never hold up others. */
+  public StateStore(Loop loop, HttpCaller caller, HttpCaller follower) {
+    this.loop = loop;
+    this.caller = caller;
+    this.follower = follower;
+  }
+
+  /** When the service last did what this node asked. */
+  public long contactMs() {
+    return contactMs;
+  }
+
+  /** Answers that were not what the protocol says. */
+  public long wrong() {
+    return wrong;
+  }
+
+  /** Reads a key. */
+  public void get(String key, Got got) {
+    caller.call(
+        Methods.GET,
+        "/kv/" + key,
+        null,
+        TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            if (status == 404) {
+              got.got(Result.OK, new Item(key, null, 0));
+            } else if (status == 200) {
+              got.got(Result.OK, item(o));
+            } else {
+              got.got(Result.NOT_DONE, null);
+            }
+          }
+
+          @Override
+          void none(boolean sent) {
+            got.got(Result.NOT_DONE, null);
+          }
+        });
+  }
+
+  private static Item item(JsonNode o) throws BadMessage {
+    return new Item(
+        Json.string(o, Fields.KEY, 400),
+        o.get(Fields.VALUE),
+        Json.integer(o, Fields.MARK, 0, Long.MAX_VALUE));
+  }
+
+  /** Lists all keys with a prefix, page by page. */
+  public void list(String prefix, Listed listed) {
+    page(prefix, null, new ArrayList<>(), -1, 0, listed);
+  }
+
+  private void page(
+      String prefix, String from, List<Item> sofar, long revision, int tries, Listed listed) {
+    String path =
+        "/kv?under=" + enc(prefix) + (from == null ? "" : "&from=" + enc(from)) + "&limit=1000";
+    caller.call(
+        Methods.GET,
+        path,
+        null,
+        2 * TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            if (status != 200) {
+              none(false);
+              return;
+            }
+            String last = null;
+            for (JsonNode n : Json.list(o, Fields.PAIRS)) {
+              Item it = item(n);
+              sofar.add(it);
+              last = it.key();
+            }
+            long first =
+                revision >= 0 ? revision : Json.integer(o, Fields.EPOCH, 0, Long.MAX_VALUE);
+            JsonNode more = o.get(Fields.TRUNCATED);
+            if (more != null && more.asBoolean() && last != null) {
+              page(prefix, last, sofar, first, 0, listed);
+            } else {
+              listed.listed(Result.OK, sofar, first);
+            }
+          }
+
+          @Override
+          void none(boolean sent) {
+            if (tries >= 3) {
+              listed.listed(Result.NOT_DONE, List.of(), 0);
+            } else {
+              loop.after(200, () -> page(prefix, from, sofar, revision, tries + 1, listed));
+            }
+          }
+        });
+  }
+
+  private static String enc(String s) {
+    return URLEncoder.encode(s, StandardCharsets.UTF_8).replace("%2F", "/");
+  }
+
+  /** Runs a transaction. */
+  public void run(Txn txn, Ended ended) {
+    caller.call(
+        Methods.POST,
+        "/multi",
+        Json.bytes(txn.json()),
+        TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            if (status == 200) {
+              ended.ended(Result.OK, Json.integer(o, Fields.EPOCH, 0, Long.MAX_VALUE), List.of());
+            } else if (status == 409) {
+              List<String> failed = new ArrayList<>();
+              for (JsonNode n : o.path("failed")) {
+                failed.add(n.asText());
+              }
+              ended.ended(Result.NO, 0, failed);
+            } else {
+              if (status == 400) {
+                LOG.error("event=state_refused body={}", o);
+              }
+              ended.ended(Result.NOT_DONE, 0, List.of());
+            }
+          }
+
+          @Override
+          void none(boolean sent) {
+            ended.ended(sent ? Result.UNKNOWN : Result.NOT_DONE, 0, List.of());
+          }
+        });
+  }
+
+  /** Asks for a lease. */
+  public void lease(long lifeMs, Leased leased) {
+    ObjectNode o = Json.object();
+    o.put(Fields.LIFE_MS, lifeMs);
+    lease(Methods.POST, "/leases", Json.bytes(o), TIMEOUT_MS, leased);
+  }
+
+  /** Renews a lease; NO means it is over. */
+  public void extend(long lease, long timeoutMs, Leased leased) {
+    lease(Methods.POST, "/leases/" + lease + "/extend", new byte[] {'{', '}'}, timeoutMs, leased);
+  }
+
+  private void lease(HttpString method, String path, byte[] body, long timeoutMs, Leased leased) {
+    caller.call(
+        method,
+        path,
+        body,
+        timeoutMs,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) {
+            if (status == 200) {
+              leased.leased(Result.OK, o.path(Fields.LEASE).asLong());
+            } else {
+              leased.leased(status == 404 ? Result.NO : Result.NOT_DONE, 0);
+            }
+          }
+
+          @Override
+          void none(boolean sent) {
+            leased.leased(sent ? Result.UNKNOWN : Result.NOT_DONE, 0);
+          }
+        });
+  }
+
+  /** Waits for changes of keys with a prefix after a revision. */
+  public void follow(String prefix, long from, long waitMs, Followed followed) {
+    follower.call(
+        Methods.GET,
+        "/follow?under=" + enc(prefix) + "&from=" + from + "&block_ms=" + waitMs,
+        null,
+        waitMs + 2 * TIMEOUT_MS,
+        new Parsed() {
+          @Override
+          void ok(int status, ObjectNode o) throws BadMessage {
+            if (status == 410) {
+              followed.followed(Result.NO, List.of(), 0);
+              return;
+            }
+            if (status != 200) {
+              none(false);
+              return;
+            }
+            List<Item> events = new ArrayList<>();
+            for (JsonNode e : Json.list(o, Fields.EVENTS)) {
+              JsonNode gone = e.get(Fields.DELETE);
+              String key = gone != null ? gone.asText() : Json.string(e, Fields.PUT, 400);
+              events.add(
+                  new Item(
+                      key,
+                      gone != null ? null : e.get(Fields.VALUE),
+                      Json.integer(e, Fields.MARK, 0, Long.MAX_VALUE)));
+            }
+            followed.followed(Result.OK, events, Json.integer(o, Fields.EPOCH, 0, Long.MAX_VALUE));
+          }
+
+          @Override
+          void none(boolean sent) {
+            followed.followed(Result.NOT_DONE, List.of(), 0);
+          }
+        });
+  }
+
+  /** Parses the body; what cannot be understood counts as no answer. */
+  private abstract class Parsed implements HttpCaller.Answer {
+    abstract void ok(int status, ObjectNode o) throws BadMessage;
+
+    abstract void none(boolean sent);
+
+    @Override
+    public final void answered(int status, byte[] body) {
+      if (status == 200 || status == 404 || status == 409 || status == 410) {
+        contactMs = loop.now();
+      }
+      ObjectNode o = Json.object();
+      if (status < 500 && status != 429 && body.length > 0) {
+        try {
+          o = Json.parseObject(body);
+        } catch (BadMessage e) {
+          if (status == 200 || status == 409) {
+            garbled(e);
+            return;
+          }
+        }
+      }
+      try {
+        ok(status, o);
+      } catch (BadMessage e) {
+        garbled(e);
+      }
+    }
+
+    private void garbled(BadMessage e) {
+      wrong++;
+      LOG.warn("event=state_garbled reason=\"{}\"", e.getMessage());
+      none(true);
+    }
+
+    @Override
+    public final void failed(boolean sent) {
+      none(sent);
+    }
+  }
+
+  /** A transaction under construction. */
+  public static final class Txn {
+    private final ObjectNode o = Json.object();
+    private final ArrayNode conditions = o.putArray(Fields.IF);
+    private final ArrayNode writes = o.putArray(Fields.WRITES);
+
+    /** The key must have this version. */
+    public Txn given(String key, long mark) {
+      ObjectNode c = conditions.addObject();
+      c.put(Fields.KEY, key);
+      c.put(Fields.MARK, mark);
+      return this;
+    }
+
+    /** Writes a key. */
+    public Txn put(String key, JsonNode value) {
+      return put(key, value, 0);
+    }
+
+    /** Writes a key that lives as long as a lease. */
+    public Txn put(String key, JsonNode value, long lease) {
+      ObjectNode w = writes.addObject();
+      w.put(Fields.PUT, key);
+      w.set(Fields.VALUE, value);
+      if (lease > 0) {
+        w.put(Fields.LEASE, lease);
+      }
+      return this;
+    }
+
+    /** Deletes a key. */
+    public Txn delete(String key) {
+      writes.addObject().put(Fields.DELETE, key);
+      return this;
+    }
+
+    /** Number of puts and deletes. */
+    public int writes() {
+      return writes.size();
+    }
+
+    ObjectNode json() {
+      return o;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/wire/JobCodec.java
@@ -0,0 +1,146 @@
+package org.mallowroad.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Names;
+
+/** Submissions as users write them, checked and turned into dense form. */
+public final class JobCodec {
+  /** The one form of a job id. */
+  public static final Pattern ID = Pattern.compile("job-[0-9]{1,40}");
+
+  private static final double MAX_AMOUNT = 1e9;
+  private static final List<String> PRIORITIES = List.of("critical", "urgent", "normal", "idle");
+
+  private final Names teams;
+  private final Names zones;
+  private final Names types;
+  private final Names images;
+  private final Names classes;
+
+  /** Over the tables that give names their indices. */
+  public JobCodec(Names teams, Names zones, Names types, Names images, Names classes) {
+    this.teams = teams;
+    this.zones = zones;
+    this.types = types;
+    this.images = images;
+    this.classes = classes;
+  }
+
+  /**
+   * Decodes a submission. An unknown team has index -1 and an unknown zone or type matches nothing,
+   * which is for the caller to judge: the submission itself is well formed.
+   */
+  public JobSpec decode(JsonNode o, long submittedMs) throws BadMessage {
+    String id = Json.string(o, Fields.ID, 60);
+    if (!ID.matcher(id).matches()) {
+      throw new BadMessage(Fields.ID + ": not a job id");
+    }
+    String taskClass = Json.string(o, Fields.CLASS, 200);
+    String team = Json.string(o, Fields.TEAM, 200);
+    String kind = Json.string(o, Fields.KIND, 20);
+    boolean service = kind.equals(Fields.KIND_SERVICE);
+    if (!service && !kind.equals(Fields.KIND_ARRAY)) {
+      throw new BadMessage(Fields.KIND + ": unknown value");
+    }
+    int priority = PRIORITIES.indexOf(Json.string(o, Fields.PRIORITY, 20));
+    if (priority < 0) {
+      throw new BadMessage(Fields.PRIORITY + ": unknown value");
+    }
+    int tasks = (int) Json.integer(o, Fields.TASKS, 1, 100_000);
+    double cpus = Json.amount(o, Fields.CPUS, MAX_AMOUNT);
+    double cards = Json.amount(o, Fields.CARDS, MAX_AMOUNT);
+    double memGb = Json.amount(o, Fields.MEM_GB, MAX_AMOUNT);
+    String image = Json.string(o, Fields.IMAGE, 500);
+    double imageGb = Json.amount(o, Fields.IMAGE_GB, MAX_AMOUNT);
+    BitSet allowed = types(o);
+    String zoneName = Json.stringOrNull(o, Fields.ZONE, 200);
+    int zone = -1;
+    if (zoneName != null) {
+      int z = zones.find(zoneName);
+      zone = z >= 0 ? z : Integer.MAX_VALUE;
+    }
+    boolean together = Json.bool(o, Fields.TOGETHER);
+    boolean scatter = Json.bool(o, Fields.SCATTER);
+    boolean spot = Json.bool(o, Fields.SPOT);
+    double estimate = Json.amount(o, Fields.ESTIMATE_S, MAX_AMOUNT);
+    double checkpoint = Json.amount(o, Fields.CHECKPOINT_S, MAX_AMOUNT);
+    double save = Json.amount(o, Fields.SAVE_S, MAX_AMOUNT);
+    double due = Json.amountOr(o, Fields.DUE_S, MAX_AMOUNT, 0);
+    return new JobSpec(
+        id,
+        classes.intern(taskClass),
+        teams.find(team),
+        service,
+        priority,
+        tasks,
+        cpus,
+        cards,
+        memGb,
+        images.intern(image),
+        imageGb,
+        allowed,
+        zone,
+        together,
+        scatter,
+        spot,
+        estimate,
+        checkpoint,
+        save,
+        due,
+        submittedMs);
+  }
+
+  private BitSet types(JsonNode o) throws BadMessage {
+    JsonNode n = o.get(Fields.TYPES);
+    if (n == null || n.isNull()) {
+      return null;
+    }
+    BitSet set = new BitSet();
+    for (JsonNode t : Json.list(o, Fields.TYPES)) {
+      if (!t.isTextual() || t.textValue().isEmpty() || t.textValue().length() > 200) {
+        throw new BadMessage(Fields.TYPES + ": type names are needed");
+      }
+      // A type the cloud does not know yet may be offered later: it keeps its own index.
+      set.set(types.intern(t.textValue()));
+    }
+    return set;
+  }
+
+  /** A copy that holds only the fields of a submission, for the record. */
+  public static ObjectNode record(ObjectNode submission) {
+    ObjectNode out = Json.object();
+    for (String f :
+        List.of(
+            Fields.ID,
+            Fields.CLASS,
+            Fields.TEAM,
+            Fields.KIND,
+            Fields.PRIORITY,
+            Fields.TASKS,
+            Fields.CPUS,
+            Fields.CARDS,
+            Fields.MEM_GB,
+            Fields.IMAGE,
+            Fields.IMAGE_GB,
+            Fields.TYPES,
+            Fields.ZONE,
+            Fields.TOGETHER,
+            Fields.SCATTER,
+            Fields.SPOT,
+            Fields.ESTIMATE_S,
+            Fields.CHECKPOINT_S,
+            Fields.SAVE_S,
+            Fields.DUE_S)) {
+      JsonNode v = submission.get(f);
+      if (v != null && !v.isNull()) {
+        out.set(f, v);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/wire/Json.java
@@ -0,0 +1,124 @@
+package org.mallowroad.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** Reading and writing JSON with checks that name the wrong field. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private Json() {}
+
+  /** An empty object. */
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  /** An empty array. */
+  public static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  /** Parses an object. */
+  public static ObjectNode parseObject(byte[] body) throws BadMessage {
+    JsonNode n;
+    try {
+      n = MAPPER.readTree(body);
+    } catch (IOException e) {
+      throw new BadMessage("not JSON");
+    }
+    if (!(n instanceof ObjectNode o)) {
+      throw new BadMessage("not an object");
+    }
+    return o;
+  }
+
+  /** The bytes of a node. */
+  public static byte[] bytes(JsonNode n) {
+    return text(n).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** The text of a node. */
+  public static String text(JsonNode n) {
+    try {
+      return MAPPER.writeValueAsString(n);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static boolean absent(JsonNode n) {
+    return n == null || n.isNull() || n.isMissingNode();
+  }
+
+  /** A required, non-empty string of at most {@code max} characters. */
+  public static String string(JsonNode o, String field, int max) throws BadMessage {
+    JsonNode n = o.get(field);
+    if (absent(n) || !n.isTextual() || n.textValue().isEmpty() || n.textValue().length() > max) {
+      throw new BadMessage(field + ": a string of 1 to " + max + " characters is needed");
+    }
+    return n.textValue();
+  }
+
+  /** An optional string, or null. */
+  public static String stringOrNull(JsonNode o, String field, int max) throws BadMessage {
+    return absent(o.get(field)) ? null : string(o, field, max);
+  }
+
+  /** A required boolean. */
+  public static boolean bool(JsonNode o, String field) throws BadMessage {
+    JsonNode n = o.get(field);
+    if (absent(n) || !n.isBoolean()) {
+      throw new BadMessage(field + ": true or false is needed");
+    }
+    return n.booleanValue();
+  }
+
+  /** A required finite number from 0 to {@code max}. */
+  public static double amount(JsonNode o, String field, double max) throws BadMessage {
+    JsonNode n = o.get(field);
+    if (absent(n) || !n.isNumber()) {
+      throw new BadMessage(field + ": a number is needed");
+    }
+    double d = n.doubleValue();
+    if (!Double.isFinite(d) || d < 0 || d > max) {
+      throw new BadMessage(field + ": a number from 0 to " + max + " is needed");
+    }
+    return d;
+  }
+
+  /** An optional number from 0 to {@code max}. */
+  public static double amountOr(JsonNode o, String field, double max, double otherwise)
+      throws BadMessage {
+    return absent(o.get(field)) ? otherwise : amount(o, field, max);
+  }
+
+  /** A required integer between bounds. */
+  public static long integer(JsonNode o, String field, long min, long max) throws BadMessage {
+    JsonNode n = o.get(field);
+    if (absent(n)
+        || !n.isIntegralNumber()
+        || !n.canConvertToLong()
+        || n.longValue() < min
+        || n.longValue() > max) {
+      throw new BadMessage(field + ": an integer from " + min + " to " + max + " is needed");
+    }
+    return n.longValue();
+  }
+
+  /** A required array. */
+  public static ArrayNode list(JsonNode o, String field) throws BadMessage {
+    if (!(o.get(field) instanceof ArrayNode a)) {
+      throw new BadMessage(field + ": a list is needed");
+    }
+    return a;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/wire/WorkerCodec.java
@@ -0,0 +1,82 @@
+package org.mallowroad.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.core.Order;
+import org.mallowroad.core.WorkerReport;
+
+/** Reports and orders. */
+public final class WorkerCodec {
+  private WorkerCodec() {}
+
+  /** Decodes a report. */
+  public static WorkerReport decode(JsonNode o) throws BadMessage {
+    List<WorkerReport.Entry> entries = new ArrayList<>();
+    for (JsonNode t : Json.list(o, Fields.TASKS)) {
+      String name = Json.string(t, Fields.TASK, 200);
+      int slash = name.lastIndexOf('/');
+      int task;
+      try {
+        task = Integer.parseInt(name.substring(slash + 1));
+      } catch (NumberFormatException e) {
+        throw new BadMessage(Fields.TASK + ": not a task");
+      }
+      if (slash <= 0) {
+        throw new BadMessage(Fields.TASK + ": not a task");
+      }
+      WorkerReport.State state =
+          switch (Json.string(t, Fields.STATE, 40)) {
+            case Fields.RUNNING -> WorkerReport.State.RUNNING;
+            case Fields.FLUSHING -> WorkerReport.State.FLUSHING;
+            case Fields.EXITED -> WorkerReport.State.EXITED;
+            // Anything else that is on the machine and has not ended counts as waiting.
+            default -> WorkerReport.State.PULLING;
+          };
+      entries.add(
+          new WorkerReport.Entry(
+              name.substring(0, slash),
+              task,
+              (int) Json.integer(t, Fields.ATTEMPT, 0, Integer.MAX_VALUE),
+              state,
+              Json.stringOrNull(t, Fields.WHY, 200)));
+    }
+    String address = Json.stringOrNull(o, Fields.ADDRESS, 200);
+    return new WorkerReport(
+        Json.string(o, Fields.MACHINE, 150),
+        address == null ? "" : address,
+        Json.string(o, Fields.TYPE, 200),
+        Json.string(o, Fields.ZONE, 200),
+        Json.bool(o, Fields.SPOT),
+        Json.integer(o, Fields.SESSION, 0, Long.MAX_VALUE),
+        Json.integer(o, Fields.SEQ, 0, Long.MAX_VALUE),
+        o.get(Fields.TOKEN) == null ? 0 : Json.integer(o, Fields.TOKEN, 0, Long.MAX_VALUE),
+        Json.amountOr(o, Fields.NOTICE_S, 1e9, -1),
+        entries);
+  }
+
+  /** A response or a direct message to a worker. */
+  public static ObjectNode orders(long token, List<Order> orders) {
+    ObjectNode o = Json.object();
+    o.put(Fields.TOKEN, token);
+    ArrayNode list = o.putArray(Fields.ORDERS);
+    for (Order c : orders) {
+      ObjectNode e = list.addObject();
+      e.put(
+          Fields.ORDER,
+          switch (c.kind()) {
+            case LAUNCH -> Fields.LAUNCH;
+            case STOP -> Fields.STOP;
+            case CLEAR -> Fields.CLEAR;
+          });
+      e.put(Fields.TASK, c.job() + "/" + c.task());
+      e.put(Fields.ATTEMPT, c.attempt());
+      if (c.kind() == Order.Kind.STOP) {
+        e.put(Fields.GRACE_S, c.graceS());
+      }
+    }
+    return o;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -0,0 +1,80 @@
+package org.mallowroad.worker;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import java.util.function.Consumer;
+import org.mallowroad.api.Reply;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.Json;
+import org.mallowroad.wire.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What workers send: the leader answers with orders, the others name the leader. */
+public final class ReportApi {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportApi.class);
+
+  private final Reports reports;
+  private long wrong;
+
+  /** What the node does with reports. */
+  public interface Reports {
+    /** A token in a report: a higher one than this node's ends its office. */
+    void sawToken(long token);
+
+    /** True while this node leads. */
+    boolean leading();
+
+    /** The leader's name, or null. */
+    String leader();
+
+    /** Answers a report; null means not now. */
+    void report(WorkerReport r, Consumer<ObjectNode> reply);
+  }
+
+  /** Over the node. */
+  public ReportApi(Reports reports) {
+    this.reports = reports;
+  }
+
+  /** Reports that were not what the protocol says. */
+  public long wrong() {
+    return wrong;
+  }
+
+  /** POST /v1/report. */
+  public void report(HttpServerExchange x, byte[] body) {
+    WorkerReport r;
+    try {
+      r = WorkerCodec.decode(Json.parseObject(body));
+    } catch (BadMessage e) {
+      wrong++;
+      LOG.warn("event=report_garbled reason=\"{}\"", e.getMessage());
+      Reply.error(x, 400, e.getMessage());
+      return;
+    }
+    reports.sawToken(r.token());
+    if (!reports.leading()) {
+      String leader = reports.leader();
+      if (leader == null) {
+        Reply.later(x, "no leader known");
+        return;
+      }
+      ObjectNode o = Json.object();
+      o.put(Fields.LEADER, leader);
+      Reply.json(x, 421, o);
+      return;
+    }
+    reports.report(
+        r,
+        orders -> {
+          if (orders == null) {
+            Reply.later(x, "not now");
+          } else {
+            Reply.json(x, 200, orders);
+          }
+        });
+  }
+}
