--- a/src/main/java/org/mallowroad/controller/Site.java
+++ b/src/main/java/org/mallowroad/controller/Site.java
@@ -72,7 +72,7 @@
       return "unknown team";
     }
     Team team = teams().get(s.team());
-    if (!team.couldRun(s, s.service() ? s.tasks() : 1)) {
+    if (!team.couldRun(s, s.service() || s.gang() ? s.tasks() : 1)) {
       return "more than the team's limit";
     }
     for (MachineType t : machineTypes) {
--- a/src/main/java/org/mallowroad/core/JobSpec.java
+++ b/src/main/java/org/mallowroad/core/JobSpec.java
@@ -3,6 +3,8 @@
 /**
  * What a user submitted, with names as dense indices.
  *
+ * @param service replicas that run until the job is withdrawn
+ * @param gang tasks that run only all together
  * @param types bit set of allowed type indices, or null for any
  * @param zone the only allowed zone, or -1
  * @param dueS deadline after submission, or 0 for none
@@ -13,6 +15,7 @@
     int taskClass,
     int team,
     boolean service,
+    boolean gang,
     int priority,
     int tasks,
     double cpus,
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -490,7 +490,8 @@
   private static Outcome outcome(String why) {
     return switch (why == null ? "" : why) {
       case "done" -> Outcome.DONE;
-      case "stopped" -> Outcome.STOPPED;
+      // A gang's task gives up without its peers; it is not at fault.
+      case "stopped", "peers", "incomplete" -> Outcome.STOPPED;
       case "no_room" -> Outcome.NO_ROOM;
       case "in_use", "no_such" -> Outcome.REFUSED;
       default -> Outcome.ERROR;
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -81,6 +81,10 @@
       if (job.notBeforeMs > now) {
         continue;
       }
+      if (job.spec.gang()) {
+        placeGang(job, made, now);
+        continue;
+      }
       while (!job.pending.isEmpty()) {
         int task = job.pending.firstInt();
         Machine m = find(job, task, now);
@@ -115,6 +119,43 @@
             .thenComparing(m -> m.name));
   }
 
+  /** Places all waiting tasks of a gang or none of them. */
+  private void placeGang(Job job, List<Attempt> made, long now) {
+    JobSpec s = job.spec;
+    int n = job.pending.size();
+    if (n == 0 || !ledger.team(s).allows(s, n)) {
+      return;
+    }
+    for (int zone = 0; zone < job.zoneLive.length; zone++) {
+      List<Machine> places = new ArrayList<>();
+      int[] inZone = job.zoneLive.clone();
+      for (Machine m : order) {
+        if (s.together() && m.zone != zone) {
+          continue;
+        }
+        Room room = new Room(m.free.cpus, m.free.cards, m.free.memGb);
+        while (places.size() < n
+            && room.fits(s)
+            && inZone[m.zone] < s.zoneCap()
+            && ledger.mayStart(job, job.pending.firstInt(), m, now) == null) {
+          room.add(s, -1);
+          inZone[m.zone]++;
+          places.add(m);
+        }
+      }
+      if (places.size() == n) {
+        for (Machine m : places) {
+          made.add(ledger.start(job, job.pending.dequeueInt(), m, now));
+          m.useImage(s.image(), s.imageGb());
+        }
+        return;
+      }
+      if (!s.together()) {
+        return;
+      }
+    }
+  }
+
   private Machine find(Job job, int task, long now) {
     Machine best = null;
     for (Machine m : order) {
--- a/src/main/java/org/mallowroad/wire/Fields.java
+++ b/src/main/java/org/mallowroad/wire/Fields.java
@@ -11,6 +11,7 @@
   public static final String KIND = "form";
   public static final String KIND_ARRAY = "sweep";
   public static final String KIND_SERVICE = "service";
+  public static final String KIND_GANG = "gang";
   public static final String PRIORITY = "rank";
   public static final String TASKS = "moves";
   public static final String CPUS = "cpus";
--- a/src/main/java/org/mallowroad/wire/JobCodec.java
+++ b/src/main/java/org/mallowroad/wire/JobCodec.java
@@ -44,7 +44,8 @@
     String team = Json.string(o, Fields.TEAM, 200);
     String kind = Json.string(o, Fields.KIND, 20);
     boolean service = kind.equals(Fields.KIND_SERVICE);
-    if (!service && !kind.equals(Fields.KIND_ARRAY)) {
+    boolean gang = kind.equals(Fields.KIND_GANG);
+    if (!service && !gang && !kind.equals(Fields.KIND_ARRAY)) {
       throw new BadMessage(Fields.KIND + ": unknown value");
     }
     int priority = PRIORITIES.indexOf(Json.string(o, Fields.PRIORITY, 20));
@@ -76,6 +77,7 @@
         classes.intern(taskClass),
         teams.find(team),
         service,
+        gang,
         priority,
         tasks,
         cpus,
