--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -0,0 +1,214 @@
+package org.mallowroad.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.Settings;
+
+/** The whole service over loopback sockets, with stand-ins for state, cloud and workers. */
+final class ServiceTest {
+  @TempDir Path dir;
+  private final HttpClient http =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private StateStandIn state;
+  private CloudStandIn cloud;
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final Map<String, String> addresses = new LinkedHashMap<>();
+
+  @BeforeEach
+  void start() throws Exception {
+    List<String> listen = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      listen.add("127.0.0.1:" + freePort());
+    }
+    state = new StateStandIn();
+    cloud = new CloudStandIn(listen);
+    for (int i = 0; i < 3; i++) {
+      Path f = dir.resolve("n" + i + ".toml");
+      Files.writeString(
+          f,
+          """
+          node_name = "n%d"
+          site = "a"
+          listen = "%s"
+          peer_listen = "127.0.0.1:0"
+          [outside]
+          cloud = "127.0.0.1:%d"
+          state = "127.0.0.1:%d"
+          [params]
+          zones = ["a", "b"]
+          [[params.teams]]
+          name = "t"
+          cpus = 8.0
+          cpus_max = 16.0
+          [params.workers]
+          report_s = 0.3
+          lease_s = 5.0
+          cancel_s = 12.0
+          [params.state]
+          rps = 1000.0
+          write_rps = 1000.0
+          value_kb = 8.0
+          txn_ops = 16
+          [params.cloud]
+          rps = 100.0
+          """
+              .formatted(i, listen.get(i), cloud.port(), state.port()));
+      Node n = new Node(new Site(Settings.load(f.toString()), OperatorSettings.defaults()));
+      n.start();
+      nodes.put("n" + i, n);
+      addresses.put("n" + i, listen.get(i));
+    }
+    await(
+        "a leader and machine types",
+        () -> state.leader() != null && status("GET", "/healthz", "") == 200);
+  }
+
+  @AfterEach
+  void stop() {
+    nodes.values().forEach(Node::stop);
+    cloud.close();
+    state.close();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0)) {
+      return s.getLocalPort();
+    }
+  }
+
+  private static void await(String what, BooleanSupplier until) throws InterruptedException {
+    long end = System.nanoTime() + 40_000_000_000L;
+    while (!until.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "no " + what + " in time");
+      Thread.sleep(50);
+    }
+  }
+
+  private HttpResponse<String> send(String method, String path, String body) {
+    String address = addresses.values().iterator().next();
+    try {
+      return http.send(
+          HttpRequest.newBuilder(URI.create("http://" + address + path))
+              .method(method, HttpRequest.BodyPublishers.ofString(body))
+              .build(),
+          HttpResponse.BodyHandlers.ofString());
+    } catch (IOException e) {
+      return null;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int status(String method, String path, String body) {
+    HttpResponse<String> r = send(method, path, body);
+    return r == null ? 0 : r.statusCode();
+  }
+
+  private static String job(String id, int tasks, double cpus) {
+    return """
+        {"name_id":"%s","docket":"c","crew":"t","form":"sweep","rank":"normal","moves":%d,"cpus":%s,
+         "cards":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"together":false,"scatter":false,
+         "driftwood":true,"reckon_s":1.0,"cairn_s":0.0,"stow_s":0.0}
+        """
+        .formatted(id, tasks, cpus);
+  }
+
+  private boolean is(String id, String standing) {
+    HttpResponse<String> r = send("GET", "/v1/jobs/" + id, "");
+    return r != null && r.body().contains("\"standing\":\"" + standing + "\"");
+  }
+
+  @Test
+  void aJobGoesFromSubmissionToDoneAndItsEndIsKept() throws Exception {
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 6, 1)));
+    assertEquals(200, status("POST", "/v1/jobs", job("job-000001", 6, 1)));
+    await("end of the job", () -> is("job-000001", "done"));
+    assertTrue(state.has("end/job-000001"));
+    assertEquals(200, status("POST", "/v1/jobs", job("job-000001", 6, 1)));
+    assertTrue(send("POST", "/v1/jobs/job-000001/withdraw", "").body().contains("\"done\""));
+    await("run records deleted", () -> !state.has("run/job-000001/0"));
+    assertEquals(0, cloud.ranTwice);
+  }
+
+  @Test
+  void aKilledLeaderAndLostResponsesLoseNothing() throws Exception {
+    state.loseEvery = 5;
+    cloud.taskMs = 1500;
+    for (int i = 1; i <= 4; i++) {
+      String j = job("job-00000" + i, 5, 1);
+      await("acceptance", () -> status("POST", "/v1/jobs", j) / 100 == 2);
+    }
+    await("running tasks", () -> !cloud.running.isEmpty());
+    String leader = state.leader();
+    assertNotNull(leader);
+    nodes.remove(leader).stop();
+    addresses.remove(leader);
+    await("another leader", () -> state.leader() != null && !state.leader().equals(leader));
+    for (int i = 1; i <= 4; i++) {
+      String id = "job-00000" + i;
+      await("end of " + id, () -> is(id, "done"));
+    }
+    assertEquals(0, cloud.ranTwice);
+  }
+
+  @Test
+  void aWithdrawnJobIsGoneEverywhereAndStaysWithdrawn() throws Exception {
+    cloud.taskMs = 60_000;
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 2, 1)));
+    await("running tasks", () -> cloud.running.size() == 2);
+    assertTrue(send("POST", "/v1/jobs/job-000001/withdraw", "").body().contains("\"withdrawn\""));
+    await("tasks gone", () -> cloud.running.isEmpty());
+    assertTrue(is("job-000001", "withdrawn"));
+    await("run records deleted", () -> !state.has("run/job-000001/0"));
+  }
+
+  @Test
+  void whatCannotBeTakenIsAnsweredAtOnce() throws Exception {
+    String good = job("job-000009", 2, 1);
+    Object[][] table = {
+      {"POST", "/v1/jobs", "", 400},
+      {"POST", "/v1/jobs", "[1]", 400},
+      {"POST", "/v1/jobs", good.replace("\"moves\":2", "\"moves\":-2"), 400},
+      {"POST", "/v1/jobs", good.replace("\"t\"", "\"nobody\""), 422},
+      {"POST", "/v1/jobs", good.replace("\"cpus\":1.0", "\"cpus\":5.0"), 422},
+      {"POST", "/v1/jobs", "x".repeat(70_000), 413},
+      {"GET", "/v1/jobs/job-000009", "", 404},
+      {"GET", "/v1/jobs/what", "", 404},
+      {"POST", "/v1/jobs/job-000009/withdraw", "", 404},
+      {"GET", "/v1/elsewhere", "", 404},
+      {"DELETE", "/v1/jobs", "", 405},
+      {"POST", "/v1/report", "{}", 400},
+      {"GET", "/metrics", "", 200},
+    };
+    for (Object[] row : table) {
+      assertEquals(
+          row[3], status((String) row[0], (String) row[1], (String) row[2]), row[0] + " " + row[1]);
+    }
+    state.down = true;
+    HttpResponse<String> r = send("POST", "/v1/jobs", good);
+    assertEquals(503, r.statusCode());
+    assertEquals("1", r.headers().firstValue("Retry-After").orElse(""));
+    state.down = false;
+    await("acceptance after the outage", () -> status("POST", "/v1/jobs", good) == 201);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/StateStandIn.java
@@ -0,0 +1,259 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Json;
+
+/** A state service of our own for the tests; it can lose responses and stand still. */
+final class StateStandIn implements AutoCloseable {
+  private record Value(JsonNode v, long mark, long lease) {}
+
+  private record Change(long revision, String key, JsonNode v) {}
+
+  private final TreeMap<String, Value> data = new TreeMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final Map<Long, long[]> leases = new HashMap<>();
+  private final HttpServer server;
+  private final ExecutorService pool = Executors.newCachedThreadPool();
+  private long revision = 1;
+  private long nextLease = 1;
+  private int transactions;
+  private boolean closed;
+
+  /** Every so many transactions one is applied without a response; 0: none. */
+  volatile int loseEvery;
+
+  /** While true everything gets 503. */
+  volatile boolean down;
+
+  StateStandIn() throws IOException {
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
+    server.setExecutor(pool);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  int port() {
+    return server.getAddress().getPort();
+  }
+
+  synchronized boolean has(String key) {
+    return data.containsKey(key);
+  }
+
+  synchronized String leader() {
+    expire();
+    Value v = data.get("leader");
+    return v == null ? null : v.v.path("node").asText();
+  }
+
+  @Override
+  public void close() {
+    synchronized (this) {
+      closed = true;
+      notifyAll();
+    }
+    server.stop(0);
+    pool.shutdownNow();
+  }
+
+  private void handle(HttpExchange x) throws IOException {
+    byte[] body = x.getRequestBody().readAllBytes();
+    String path = x.getRequestURI().getPath();
+    try {
+      if (down) {
+        send(x, 503, Json.object());
+      } else if (path.equals("/multi")) {
+        multi(x, Json.parseObject(body));
+      } else if (path.startsWith("/leases")) {
+        lease(x, path, Json.parseObject(body));
+      } else if (path.equals("/follow")) {
+        follow(x, query(x));
+      } else if (path.equals("/kv")) {
+        list(x, query(x));
+      } else {
+        get(x, path.substring("/kv/".length()));
+      }
+    } catch (BadMessage e) {
+      send(x, 400, Json.object());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Map<String, String> query(HttpExchange x) {
+    Map<String, String> q = new HashMap<>();
+    for (String p : x.getRequestURI().getQuery().split("&")) {
+      int eq = p.indexOf('=');
+      q.put(p.substring(0, eq), p.substring(eq + 1));
+    }
+    return q;
+  }
+
+  static void send(HttpExchange x, int status, JsonNode o) throws IOException {
+    byte[] b = Json.bytes(o);
+    x.sendResponseHeaders(status, b.length);
+    x.getResponseBody().write(b);
+    x.close();
+  }
+
+  private void get(HttpExchange x, String key) throws IOException {
+    ObjectNode o = Json.object();
+    int status;
+    synchronized (this) {
+      expire();
+      Value v = data.get(key);
+      status = v == null ? 404 : 200;
+      if (v != null) {
+        o.put("key", key).put("mark", v.mark).set("v", v.v);
+      }
+      o.put("epoch", revision);
+    }
+    send(x, status, o);
+  }
+
+  private void list(HttpExchange x, Map<String, String> q) throws IOException {
+    ObjectNode o = Json.object();
+    synchronized (this) {
+      expire();
+      String under = q.get("under");
+      ArrayNode pairs = o.putArray("pairs");
+      for (Map.Entry<String, Value> e : data.tailMap(under).entrySet()) {
+        if (!e.getKey().startsWith(under)) {
+          break;
+        }
+        pairs
+            .addObject()
+            .put("key", e.getKey())
+            .put("mark", e.getValue().mark)
+            .set("v", e.getValue().v);
+      }
+      o.put("epoch", revision).put("truncated", false);
+    }
+    send(x, 200, o);
+  }
+
+  private void multi(HttpExchange x, ObjectNode t) throws IOException {
+    ObjectNode o = Json.object();
+    boolean lost;
+    int status = 200;
+    synchronized (this) {
+      expire();
+      transactions++;
+      lost = loseEvery > 0 && transactions % loseEvery == 0;
+      ArrayNode failed = Json.array();
+      for (JsonNode c : t.path("if")) {
+        Value v = data.get(c.path("key").asText());
+        if ((v == null ? 0 : v.mark) != c.path("mark").asLong()) {
+          failed.add(c.path("key").asText());
+        }
+      }
+      if (!failed.isEmpty()) {
+        status = 409;
+        o.set("failed", failed);
+      } else {
+        revision++;
+        for (JsonNode w : t.path("writes")) {
+          if (w.has("put")) {
+            data.put(
+                w.get("put").asText(), new Value(w.get("v"), revision, w.path("tenure").asLong(0)));
+            changes.add(new Change(revision, w.get("put").asText(), w.get("v")));
+          } else if (data.remove(w.get("delete").asText()) != null) {
+            changes.add(new Change(revision, w.get("delete").asText(), null));
+          }
+        }
+        notifyAll();
+      }
+      o.put("epoch", revision);
+    }
+    if (lost) {
+      x.close();
+    } else {
+      send(x, status, o);
+    }
+  }
+
+  private void lease(HttpExchange x, String path, ObjectNode b) throws IOException {
+    ObjectNode o = Json.object();
+    int status = 200;
+    synchronized (this) {
+      expire();
+      if (path.equals("/leases")) {
+        long life = b.path("life_ms").asLong();
+        leases.put(nextLease, new long[] {life, System.currentTimeMillis() + life});
+        o.put("tenure", nextLease++);
+      } else {
+        long id = Long.parseLong(path.split("/")[2]);
+        long[] l = leases.get(id);
+        if (l == null) {
+          status = 404;
+        } else {
+          l[1] = System.currentTimeMillis() + l[0];
+          o.put("tenure", id);
+        }
+      }
+    }
+    send(x, status, o);
+  }
+
+  private synchronized void expire() {
+    long now = System.currentTimeMillis();
+    leases.values().removeIf(l -> l[1] < now);
+    List<String> over = new ArrayList<>();
+    data.forEach(
+        (k, v) -> {
+          if (v.lease > 0 && !leases.containsKey(v.lease)) {
+            over.add(k);
+          }
+        });
+    for (String k : over) {
+      revision++;
+      data.remove(k);
+      changes.add(new Change(revision, k, null));
+      notifyAll();
+    }
+  }
+
+  private void follow(HttpExchange x, Map<String, String> q)
+      throws IOException, InterruptedException {
+    long from = Long.parseLong(q.get("from"));
+    String under = q.get("under");
+    long until = System.currentTimeMillis() + Long.parseLong(q.getOrDefault("block_ms", "0"));
+    ObjectNode o = Json.object();
+    ArrayNode events = o.putArray("events");
+    synchronized (this) {
+      while (true) {
+        expire();
+        for (Change c : changes) {
+          if (c.revision > from && c.key.startsWith(under)) {
+            ObjectNode e = events.addObject().put("mark", c.revision);
+            if (c.v == null) {
+              e.put("delete", c.key);
+            } else {
+              e.put("put", c.key).set("v", c.v);
+            }
+          }
+        }
+        if (!events.isEmpty() || closed || System.currentTimeMillis() >= until) {
+          break;
+        }
+        wait(50);
+      }
+      o.put("epoch", revision);
+    }
+    send(x, 200, o);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/FleetTest.java
@@ -0,0 +1,122 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Renting and returning as the design says, and its exceptions. */
+final class FleetTest {
+  private static final MachineType SMALL =
+      new MachineType(0, "small", 4, 0, 16, 100, 1, 1.0, 0.4, 30, new int[] {0, 1});
+  private static final MachineType LARGE =
+      new MachineType(1, "large", 32, 0, 256, 100, 1, 9.0, 4.0, 30, new int[] {0, 1});
+  private static final List<MachineType> TYPES = List.of(SMALL, LARGE);
+
+  private static final class World {
+    final Names zones = new Names();
+    final Ledger ledger;
+    final Fleet fleet;
+    final Placement placement;
+    long now = 1_000_000;
+    long seq;
+
+    World() {
+      zones.intern("a");
+      zones.intern("b");
+      ledger = new Ledger(1, 20, 3, List.of(new Team("team", 64, 0, 64, 0)), zones);
+      fleet = new Fleet(ledger, FleetPolicy.defaults());
+      placement = new Placement(ledger);
+    }
+
+    Machine machine(String name, MachineType type, boolean spot) {
+      Machine m = ledger.meet(name, type, 0, spot, now);
+      WorkerReport r =
+          new WorkerReport(name, "h:1", type.name(), "a", spot, 1, ++seq, 1, -1, List.of());
+      ledger.report(m, r, true, now);
+      return m;
+    }
+
+    Job job(String id, int tasks, double cpus) {
+      return ledger.accept(Specs.array(id, tasks, cpus).spot().build(), 5, now);
+    }
+
+    List<Fleet.Rent> rents(List<Fleet.Coming> coming) {
+      return fleet.rents(placement.queue(now), coming, TYPES, now);
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest policy(String name, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World()));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> sizes() {
+    return Stream.of(
+        policy(
+            "the cheapest fitting variant is rented",
+            w -> {
+              w.job("job-1", 1, 4);
+              List<Fleet.Rent> r = w.rents(List.of());
+              assertEquals(1, r.size());
+              assertEquals(new Fleet.Variant(SMALL, 0, true), r.get(0).variant());
+              assertEquals(1, r.get(0).count());
+            }),
+        policy(
+            "a task that fits only the large type gets the large type",
+            w -> {
+              w.job("job-1", 1, 16);
+              assertEquals(LARGE, w.rents(List.of()).get(0).variant().type());
+            }),
+        policy(
+            "a refused variant is left out for a while, its next cheapest is taken",
+            w -> {
+              w.job("job-1", 1, 4);
+              w.fleet.refused(new Fleet.Variant(SMALL, 0, true), w.now);
+              w.fleet.refused(new Fleet.Variant(SMALL, 1, true), w.now);
+              assertEquals(new Fleet.Variant(SMALL, 0, false), w.rents(List.of()).get(0).variant());
+            }),
+        policy(
+            "machines on their way take waiting tasks, so nothing is rented twice",
+            w -> {
+              w.job("job-1", 1, 4);
+              assertTrue(
+                  w.rents(List.of(new Fleet.Coming(new Fleet.Variant(SMALL, 0, true), 1)))
+                      .isEmpty());
+            }),
+        policy(
+            "tasks beyond their team's limit rent nothing",
+            w -> {
+              w.job("job-1", 40, 4);
+              int n = w.rents(List.of()).stream().mapToInt(Fleet.Rent::count).sum();
+              assertEquals(16, n); // The limit lets 16 of the 40 tasks run at a time.
+            }),
+        policy(
+            "the dearest empty machine goes back first, if the rest has headroom",
+            w -> {
+              w.machine("n-1", SMALL, true);
+              Machine large = w.machine("n-2", LARGE, false);
+              w.now += 60_000;
+              List<Machine> back = w.fleet.returns(false, w.now);
+              assertEquals(large, back.get(0));
+            }),
+        policy(
+            "no headroom, no return",
+            w -> {
+              Machine busy = w.machine("n-1", SMALL, true);
+              Machine idle = w.machine("n-2", SMALL, true);
+              Job j = w.job("job-1", 1, 4);
+              w.ledger.start(j, 0, busy, w.now);
+              w.now += 60_000;
+              assertEquals(List.of(), w.fleet.returns(false, w.now));
+              assertTrue(idle.usable());
+            }));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -0,0 +1,376 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.WorkerReport.State;
+
+/** Each rule with its failure: when a task may start, and when its attempt is proven gone. */
+final class LedgerTest {
+  private static final long TERM = 7;
+
+  /** A small world on virtual time: one team of 8 CPUs, machines of 4. */
+  static final class World {
+    final Names zones = new Names();
+    final MachineType type;
+    final Ledger ledger;
+    final Placement placement;
+    long now = 1_000_000;
+    int seq;
+
+    World() {
+      zones.intern("a");
+      zones.intern("b");
+      type = new MachineType(0, "t4", 4, 0, 16, 100, 1, 1.0, 0.4, 30, new int[] {0, 1});
+      ledger =
+          new Ledger(
+              TERM,
+              20,
+              3,
+              List.of(new Team("team", 4, 0, 8, 0), new Team("other", 8, 0, 8, 0)),
+              zones);
+      placement = new Placement(ledger);
+    }
+
+    Job job(String id, int tasks, double cpus) {
+      return ledger.accept(Specs.array(id, tasks, cpus).build(), 5, now);
+    }
+
+    Machine machine(String name, int zone) {
+      Machine m = ledger.meet(name, type, zone, false, now);
+      report(m, 1, TERM);
+      return m;
+    }
+
+    List<Order> report(Machine m, long session, long token, WorkerReport.Entry... entries) {
+      return at(m, session, ++seq, token, entries);
+    }
+
+    List<Order> at(Machine m, long session, long s, long token, WorkerReport.Entry... entries) {
+      List<Order> o =
+          ledger.report(
+              m,
+              new WorkerReport(
+                  m.name, "h:1", "t4", "a", false, session, s, token, -1, List.of(entries)),
+              true,
+              now);
+      m.answeredMs = now;
+      return o;
+    }
+
+    Attempt start(Job j, int task, Machine m) {
+      Attempt a = ledger.start(j, task, m, now);
+      commit();
+      return a;
+    }
+
+    void commit() {
+      for (Chunk c : new ArrayList<>(ledger.dirty())) {
+        List<Attempt> recorded = new ArrayList<>();
+        for (int t = c.from(); t < c.to(); t++) {
+          if (c.job.live(t) != null) {
+            recorded.add(c.job.live(t));
+          }
+        }
+        ledger.committed(c, 9, c.changes, recorded);
+      }
+    }
+
+    static WorkerReport.Entry entry(Attempt a, State state, String why) {
+      return new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, state, why);
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest rule(String name, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World()));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> starts() {
+    return Stream.of(
+        rule(
+            "a start that is not committed is not launched",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              w.ledger.start(w.job("job-1", 1, 1), 0, m, w.now);
+              assertEquals(List.of(), w.report(m, 1, TERM));
+            }),
+        rule(
+            "a lost launch is sent again as the same attempt",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              w.start(w.job("job-1", 1, 1), 0, m);
+              Order launch = new Order(Order.Kind.LAUNCH, "job-1", 0, 1, 0);
+              assertEquals(List.of(launch), w.report(m, 1, TERM));
+              assertEquals(List.of(launch), w.report(m, 1, TERM));
+            }),
+        rule(
+            "a leader without state launches nothing",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              w.start(w.job("job-1", 1, 1), 0, m);
+              WorkerReport r =
+                  new WorkerReport("n-1", "h:1", "t4", "a", false, 1, 99, TERM, -1, List.of());
+              assertEquals(List.of(), w.ledger.report(m, r, false, w.now));
+            }),
+        rule(
+            "a task with an unresolved attempt does not start again",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Machine n = w.machine("n-2", 0);
+              Job j = w.job("job-1", 1, 1);
+              w.start(j, 0, m);
+              assertEquals(Ledger.Refusal.BUSY, w.ledger.mayStart(j, 0, n, w.now));
+            }),
+        rule(
+            "unproven tasks use the team's limit",
+            w -> {
+              Job j = w.job("job-1", 3, 4);
+              w.start(j, 0, w.machine("n-1", 0));
+              w.start(j, 1, w.machine("n-2", 0));
+              Machine free = w.machine("n-3", 0);
+              assertEquals(Ledger.Refusal.QUOTA, w.ledger.mayStart(j, 2, free, w.now));
+              w.ledger.machineGone(w.ledger.machine("n-1"), w.now);
+              assertNull(w.ledger.mayStart(j, 2, free, w.now));
+            }),
+        rule(
+            "together keeps to one zone, scatter to half of the tasks a zone",
+            w -> {
+              Machine a = w.machine("n-1", 0);
+              Machine b = w.machine("n-2", 1);
+              Job t = w.ledger.accept(Specs.array("job-1", 2, 1).together().build(), 5, w.now);
+              w.start(t, 0, a);
+              assertEquals(Ledger.Refusal.ZONE, w.ledger.mayStart(t, 1, b, w.now));
+              Job s = w.ledger.accept(Specs.array("job-2", 3, 0.5).scatter().build(), 5, w.now);
+              w.start(s, 0, a);
+              w.start(s, 1, a);
+              assertEquals(Ledger.Refusal.ZONE, w.ledger.mayStart(s, 2, a, w.now));
+              assertNull(w.ledger.mayStart(s, 2, b, w.now));
+            }),
+        rule(
+            "type, zone and kind are the job's to allow",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job z = w.ledger.accept(Specs.array("job-1", 1, 1).zone(1).build(), 5, w.now);
+              assertEquals(Ledger.Refusal.PLACE, w.ledger.mayStart(z, 0, m, w.now));
+              Machine spot = w.ledger.meet("n-2", w.type, 0, true, w.now);
+              w.report(spot, 1, TERM);
+              Job o = w.ledger.accept(Specs.array("job-2", 1, 1).build(), 5, w.now);
+              assertEquals(Ledger.Refusal.PLACE, w.ledger.mayStart(o, 0, spot, w.now));
+            }),
+        rule(
+            "a silent machine gets no work",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              w.now += 7_000;
+              assertEquals(
+                  Ledger.Refusal.MACHINE, w.ledger.mayStart(w.job("job-1", 1, 1), 0, m, w.now));
+            }),
+        rule(
+            "a gang starts with all its tasks or not at all",
+            w -> {
+              w.machine("n-1", 0);
+              Job g = w.ledger.accept(Specs.array("job-1", 2, 4).gang().build(), 5, w.now);
+              assertEquals(0, w.placement.place(w.now).size());
+              w.machine("n-2", 1);
+              assertEquals(2, w.placement.place(w.now).size());
+              assertFalse(g.waiting());
+            }));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> proofs() {
+    return Stream.of(
+        rule(
+            "an exit frees the attempt but is cleared only once committed",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 2, 1);
+              Attempt a = w.start(j, 0, m);
+              WorkerReport.Entry exit = World.entry(a, State.EXITED, "done");
+              assertEquals(List.of(), w.report(m, 1, TERM, exit));
+              assertTrue(j.isDone(0));
+              assertEquals(List.of(), w.report(m, 1, TERM, exit));
+              w.commit();
+              assertEquals(
+                  List.of(new Order(Order.Kind.CLEAR, "job-1", 0, 1, 0)),
+                  w.report(m, 1, TERM, exit));
+            }),
+        rule(
+            "an older report is dropped",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Attempt a = w.start(w.job("job-1", 1, 1), 0, m);
+              w.at(m, 1, 50, TERM, World.entry(a, State.RUNNING, null));
+              assertNull(w.at(m, 1, 49, TERM));
+              assertEquals(Attempt.Phase.RUNNING, a.phase);
+            }),
+        rule(
+            "a report without the task proves nothing before the worker obeys this term",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 1, 1);
+              Attempt a = w.start(j, 0, m);
+              w.ledger.withdraw(j, w.now);
+              w.report(m, 1, TERM - 1);
+              assertEquals(Attempt.Phase.READY, a.phase);
+              w.report(m, 1, TERM);
+              assertEquals(Attempt.Phase.GONE, a.phase);
+            }),
+        rule(
+            "a later session frees all attempts of earlier ones",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 1, 1);
+              Attempt a = w.start(j, 0, m);
+              w.report(m, 2, TERM);
+              assertEquals(Attempt.Phase.GONE, a.phase);
+              assertTrue(j.waiting());
+            }),
+        rule(
+            "a silent worker's lease frees its tasks only if it had seen this term",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Machine old = w.ledger.meet("n-2", w.type, 0, false, w.now);
+              w.report(old, 1, TERM - 1);
+              Job j = w.job("job-1", 2, 1);
+              Attempt a = w.start(j, 0, m);
+              Attempt b = w.start(j, 1, old);
+              w.now += 20_000;
+              w.ledger.expireSilent(w.now);
+              assertEquals(Attempt.Phase.READY, a.phase);
+              w.now += 1_000;
+              w.ledger.expireSilent(w.now);
+              assertEquals(Attempt.Phase.GONE, a.phase);
+              assertEquals(Attempt.Phase.READY, b.phase);
+            }),
+        rule(
+            "a deleted machine frees its tasks and is never met again",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Attempt a = w.start(w.job("job-1", 1, 1), 0, m);
+              w.ledger.machineGone(m, w.now);
+              assertEquals(Attempt.Phase.GONE, a.phase);
+              assertNull(w.ledger.meet("n-1", w.type, 0, false, w.now));
+            }),
+        rule(
+            "a withdrawn job is stopped, starts nothing and counts until it is gone",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 2, 4);
+              Attempt a = w.start(j, 0, m);
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.ledger.withdraw(j, w.now);
+              assertEquals(Ledger.Refusal.OVER, w.ledger.mayStart(j, 1, m, w.now));
+              assertEquals(
+                  List.of(new Order(Order.Kind.STOP, "job-1", 0, 1, 0)),
+                  w.report(m, 1, TERM, World.entry(a, State.RUNNING, null)));
+              assertEquals(4, w.ledger.team(j.spec).usedCpus());
+              w.report(m, 1, TERM, World.entry(a, State.EXITED, "stopped"));
+              assertEquals(0, w.ledger.team(j.spec).usedCpus());
+              assertTrue(j.finished());
+            }),
+        rule(
+            "a start withdrawn while it was being recorded is never launched",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 1, 1);
+              Attempt a = w.ledger.start(j, 0, m, w.now);
+              Chunk c = j.chunk(0);
+              long changes = c.changes;
+              w.ledger.withdraw(j, w.now);
+              w.ledger.committed(c, 9, changes, List.of(a));
+              assertEquals(Attempt.Phase.GONE, a.phase);
+              assertEquals(List.of(), w.report(m, 1, TERM));
+            }),
+        rule(
+            "an attempt that no record knows is stopped, then cleared",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              WorkerReport.Entry e = new WorkerReport.Entry("job-9", 0, 3, State.RUNNING, null);
+              assertEquals(
+                  List.of(new Order(Order.Kind.STOP, "job-9", 0, 3, 0)), w.report(m, 1, TERM, e));
+            }),
+        rule(
+            "a job that fails everywhere is held back ever longer",
+            w -> {
+              Job j = w.job("job-1", 1, 1);
+              long last = 0;
+              for (int i = 1; i <= 4; i++) {
+                Machine m = w.machine("n-" + i, 0);
+                Attempt a = w.start(j, 0, m);
+                w.report(m, 1, TERM, World.entry(a, State.EXITED, "error"));
+                assertTrue(j.notBeforeMs - w.now > last);
+                last = j.notBeforeMs - w.now;
+              }
+            }),
+        rule(
+            "attempt numbers of a restored task go on from the highest recorded one",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 2, 1);
+              w.ledger.restore(j.chunk(0), 3, new java.util.BitSet(), 6);
+              assertEquals(7, w.start(j, 0, m).number);
+            }),
+        rule(
+            "a restored attempt counts, and reports of earlier sessions are dropped",
+            w -> {
+              Machine m = w.ledger.meet("n-1", w.type, 0, false, w.now);
+              Job j = w.job("job-1", 1, 1);
+              w.ledger.restoreAttempt(j, 0, 2, m, 4, w.now);
+              assertEquals(1, w.ledger.team(j.spec).usedCpus());
+              assertNull(w.at(m, 3, 100, TERM));
+            }));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> preemption() {
+    return Stream.of(
+        rule(
+            "higher priority stops lower, never the same",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job low = w.job("job-1", 1, 4);
+              Attempt a = w.start(low, 0, m);
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.ledger.accept(Specs.array("job-2", 1, 4).build(), 6, w.now);
+              w.now += 2_000;
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.placement.place(w.now);
+              assertFalse(a.stopping());
+              w.ledger.accept(Specs.array("job-3", 1, 4).priority(1).build(), 7, w.now);
+              w.now += 2_000;
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.placement.place(w.now);
+              assertTrue(a.stopping());
+            }),
+        rule(
+            "a guarantee stops what another team borrows at the same priority",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Machine n = w.machine("n-2", 0);
+              Job j = w.job("job-1", 2, 4);
+              Attempt a = w.start(j, 0, m);
+              Attempt b = w.start(j, 1, n);
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.report(n, 1, TERM, World.entry(b, State.RUNNING, null));
+              w.ledger.accept(Specs.array("job-2", 1, 4).team(1).build(), 6, w.now);
+              w.now += 5_000;
+              w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
+              w.report(n, 1, TERM, World.entry(b, State.RUNNING, null));
+              w.placement.place(w.now);
+              assertEquals(1, (a.stopping() ? 1 : 0) + (b.stopping() ? 1 : 0));
+            }));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -0,0 +1,66 @@
+package org.mallowroad.core;
+
+/** Builds job specs for the tables. */
+public final class Specs {
+  private final String id;
+  private final int tasks;
+  private final double cpus;
+  private boolean gang;
+  private boolean together;
+  private boolean scatter;
+  private boolean spot;
+  private int zone = -1;
+  private int team;
+  private int priority = 2;
+
+  private Specs(String id, int tasks, double cpus) {
+    this.id = id;
+    this.tasks = tasks;
+    this.cpus = cpus;
+  }
+
+  public static Specs array(String id, int tasks, double cpus) {
+    return new Specs(id, tasks, cpus);
+  }
+
+  public Specs gang() {
+    gang = true;
+    return this;
+  }
+
+  public Specs together() {
+    together = true;
+    return this;
+  }
+
+  public Specs scatter() {
+    scatter = true;
+    return this;
+  }
+
+  public Specs spot() {
+    spot = true;
+    return this;
+  }
+
+  public Specs zone(int z) {
+    zone = z;
+    return this;
+  }
+
+  public Specs team(int t) {
+    team = t;
+    return this;
+  }
+
+  public Specs priority(int p) {
+    priority = p;
+    return this;
+  }
+
+  public JobSpec build() {
+    return new JobSpec(
+        id, 0, team, false, gang, priority, tasks, cpus, 0, 1, 0, 1, null, zone, together, scatter,
+        spot, 60, 0, 0, 0, 1_000);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/wire/JobCodecTest.java
@@ -0,0 +1,94 @@
+package org.mallowroad.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Names;
+
+/** What bad submissions get. */
+final class JobCodecTest {
+  static final String GOOD =
+      """
+      {"name_id":"job-000412","docket":"train","crew":"vision","form":"sweep","rank":"urgent","moves":16,
+       "cpus":8.0,"cards":1.0,"mem_gb":64.0,"kit":"img-07","size_gb":6.2,"builds":["g8"],"ground":null,
+       "together":true,"scatter":false,"driftwood":true,"reckon_s":240.0,"cairn_s":30.0,"stow_s":4.0,
+       "due_s":900.0}
+      """;
+
+  private static JobSpec decode(String json) throws BadMessage {
+    Names teams = new Names();
+    teams.intern("vision");
+    return new JobCodec(teams, new Names(), new Names(), new Names(), new Names())
+        .decode(Json.parseObject(json.getBytes(StandardCharsets.UTF_8)), 1);
+  }
+
+  @Test
+  void aGoodOneIsTaken() throws BadMessage {
+    JobSpec s = decode(GOOD);
+    assertEquals(16, s.tasks());
+    assertEquals(1, s.priority());
+    assertEquals(-1, s.zone());
+    assertTrue(s.together() && s.spot() && !s.scatter());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "\"ground\":null,|",
+        "\"builds\":[\"g8\"],|",
+        "\"due_s\":900.0|\"due_s\":null",
+        "\"due_s\":900.0|\"due_s\":900.0,\"later\":{}",
+      })
+  void whatMayBeLeftOutMay(String from, String to) throws BadMessage {
+    decode(GOOD.replace(from, to == null ? "" : to));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "job-000412|job 1|name_id",
+        "\"name_id\":\"job-000412\",||name_id",
+        "\"vision\"|7|crew",
+        "sweep|swarm|form",
+        "urgent|asap|rank",
+        "\"moves\":16|\"moves\":0|moves",
+        "\"moves\":16|\"moves\":100001|moves",
+        "\"moves\":16|\"moves\":1.5|moves",
+        "\"moves\":16|\"moves\":\"16\"|moves",
+        "\"cpus\":8.0|\"cpus\":-1|cpus",
+        "\"cpus\":8.0|\"cpus\":1e400|cpus",
+        "\"cpus\":8.0|\"cpus\":null|cpus",
+        "\"mem_gb\":64.0,||mem_gb",
+        "\"together\":true|\"together\":1|together",
+        "[\"g8\"]|\"g8\"|builds",
+        "[\"g8\"]|[8]|builds",
+        "\"due_s\":900.0|\"due_s\":-5|due_s",
+      })
+  void aWrongFieldIsNamed(String from, String to, String field) {
+    String json = GOOD.replace(from, to == null ? "" : to);
+    BadMessage e = assertThrows(BadMessage.class, () -> decode(json));
+    assertTrue(e.getMessage().startsWith(field), e.getMessage());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {"|not JSON", "{|not JSON", "[]|not an object", "{} {}|not JSON", "5|not an object"})
+  void whatIsNoObjectIsRefused(String json, String reason) {
+    BadMessage e =
+        assertThrows(
+            BadMessage.class,
+            () ->
+                Json.parseObject(
+                    (json == null ? "{\"a\"" : json).getBytes(StandardCharsets.UTF_8)));
+    assertEquals(reason, e.getMessage());
+  }
+}
