--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -50,6 +50,9 @@
     /** The leader's mark failed: another leads. */
     void deposed();
 
+    /** Starts may have become launchable. */
+    void committed();
+
     /** A job's end is committed or was found. */
     void ended(Job job, boolean done);
   }
@@ -216,6 +219,7 @@
               busy = false;
               applied(written, ends, revision);
               wake();
+              events.committed();
               kick();
             }
             case NO -> settle(written, ends, failed);
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -350,6 +350,10 @@
       if (m.returning) {
         continue;
       }
+      if (ledger.mustFence(m, now)) {
+        LOG.info("event=machine_unfenced machine={}", m.name);
+        m.returning = true;
+      }
       if (m.reportedMs >= 0) {
         // When most are silent the fault is rather on this side.
         if (now - m.reportedMs > SILENT_MS && 2 * fresh > usable) {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -27,6 +27,7 @@
 import org.mallowroad.state.StateStore.Result;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.WorkerCodec;
+import org.mallowroad.worker.WorkerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -52,6 +53,8 @@
   private final List<Loop.Timer> duties = new ArrayList<>();
   private final Object2ObjectOpenHashMap<String, WorkerReport> early =
       new Object2ObjectOpenHashMap<>();
+  private final WorkerClient workers;
+  private final ObjectOpenHashSet<String> holding = new ObjectOpenHashSet<>();
   private boolean loaded;
   private boolean acting;
   private boolean stopped;
@@ -65,6 +68,7 @@
       Election election,
       long term,
       long mark,
+      WorkerClient workers,
       Consumer<Job> onEnd) {
     this.loop = loop;
     this.state = state;
@@ -72,6 +76,7 @@
     this.election = election;
     this.term = term;
     this.onEnd = onEnd;
+    this.workers = workers;
     this.startedMs = loop.now();
     this.ledger =
         new Ledger(term, site.settings.leaseS(), site.settings.reportS(), site.teams(), site.zones);
@@ -102,6 +107,11 @@
                 election.stepDown();
               }
 
+              @Override
+              public void committed() {
+                push();
+              }
+
               @Override
               public void ended(Job job, boolean done) {
                 if (done) {
@@ -419,6 +429,39 @@
       placement.place(loop.now());
     }
     committer.kick();
+    push();
+  }
+
+  /** Sends what waits straight to the workers, one message a worker at a time. */
+  private void push() {
+    if (!acting || !firm()) {
+      return;
+    }
+    long now = loop.now();
+    for (Machine m : ledger.machines()) {
+      if (m.empty() || m.address.isEmpty() || holding.contains(m.name) || workers.busy(m.address)) {
+        continue;
+      }
+      List<Order> orders = ledger.direct(m, true, now);
+      if (orders.isEmpty()) {
+        continue;
+      }
+      workers.send(
+          m.address,
+          WorkerCodec.direct(term, m.session, orders),
+          (result, report) -> {
+            if (stopped || ledger.machine(m.name) != m) {
+              return;
+            }
+            if (result != WorkerClient.Result.UNKNOWN) {
+              ledger.answered(m, orders);
+            }
+            if (report != null && report.machine().equals(m.name)) {
+              ledger.report(m, report, false, loop.now());
+              advance();
+            }
+          });
+    }
   }
 
   /** True when this leader must stop renewing worker leases. */
@@ -469,6 +512,7 @@
       reply.accept(WorkerCodec.orders(term, orders));
       return;
     }
+    holding.add(m.name);
     Held held = new Held(r, m, orders, recording, reply);
     committer.afterNext(held::release);
     held.timer = loop.after(HOLD_MS, held::release);
@@ -505,6 +549,7 @@
       if (timer != null) {
         timer.cancel();
       }
+      holding.remove(machine.name);
       if (stopped) {
         reply.accept(null);
         return;
@@ -514,6 +559,7 @@
             && !a.stopping()
             && a.session == report.session()
             && firm()) {
+          a.sent = true;
           orders.add(new Order(Order.Kind.LAUNCH, a.job.spec.id(), a.task, a.number, 0));
         }
       }
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -25,6 +25,7 @@
 import org.mallowroad.state.StateStore;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.worker.ReportApi;
+import org.mallowroad.worker.WorkerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -43,6 +44,7 @@
   private final CloudApi cloud;
   private final StateStore state;
   private final Election election;
+  private final WorkerClient workers;
   private final UserApi users;
   private final ReportApi reports;
   private final Undertow server;
@@ -78,6 +80,7 @@
             new Budget(s.cloudRps() * 0.7, s.cloudRps(), now),
             site.types,
             site.zones);
+    this.workers = new WorkerClient(loop, buffers);
     this.users =
         new UserApi(
             loop,
@@ -120,6 +123,7 @@
           if (leader != null) {
             leader.stop();
           }
+          loop.close();
         });
     server.stop();
     worker.shutdown();
@@ -178,6 +182,7 @@
               election,
               term,
               mark,
+              workers,
               job -> users.ended(job.spec.id(), true));
       leader.start();
     }
--- a/src/main/java/org/mallowroad/core/Attempt.java
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -42,6 +42,18 @@
   /** When it was recorded and when it began to run, on the steady clock. */
   public final long sinceMs;
 
+  /** True once a stop was sent straight to the worker. */
+  boolean stopSent;
+
+  /** True once its launch was sent in any way. */
+  public boolean sent;
+
+  /**
+   * A launch sent straight to the worker has no answer yet: it may be executed at any later time,
+   * unless the worker's session or token moves on or its machine goes.
+   */
+  public boolean inFlight;
+
   long runningSinceMs;
   long stopSinceMs;
 
@@ -60,10 +72,20 @@
     return stopGraceS >= 0;
   }
 
+  /** How the worker names it. */
+  String key() {
+    return key(job.spec.id(), task, number);
+  }
+
+  static String key(String job, int task, int number) {
+    return job + "/" + task + "/" + number;
+  }
+
   /** Asks for a stop; a shorter time to save replaces a longer one. */
   void stop(double graceS, long now) {
     if (stopGraceS < 0 || graceS < stopGraceS) {
       stopGraceS = graceS;
+      stopSent = false;
       stopSinceMs = now;
     }
   }
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -22,6 +22,12 @@
   /** Machines on which a task of this job ended with an error. */
   final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
 
+  /**
+   * True when the job fits into its team's guarantee together with the team's earlier unfinished
+   * jobs; as of the newest queue.
+   */
+  boolean guaranteed;
+
   int liveCount;
   int runningCount;
   int failures;
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -51,6 +51,8 @@
     ZONE
   }
 
+  private static final long FENCE_MS = 8_000;
+
   private final long term;
   private final long leaseMs;
   private final long freshMs;
@@ -335,6 +337,9 @@
     job.liveCount--;
     job.zoneLive[a.machine.zone]--;
     a.machine.remove(a, now);
+    if (a.inFlight) {
+      a.machine.unfenced.add(a.key());
+    }
     team(job.spec).add(job.spec, -1);
     touch(job, a.task);
     if (outcome == Outcome.DONE && !job.spec.service()) {
@@ -392,8 +397,10 @@
       return null;
     }
     if (r.session() > m.session) {
+      m.unfenced.clear(); // Orders for an earlier session are not executed any more.
       for (Attempt a : new ArrayList<>(m.attempts)) {
         if (a.session < r.session()) {
+          a.inFlight = false;
           resolve(a, Outcome.LOST, now);
         }
       }
@@ -419,7 +426,7 @@
         }
       }
       if (a == null) {
-        orphan(e, job, orders);
+        orphan(m, e, job, orders);
       } else {
         listed.add(a);
         see(a, e, now, orders);
@@ -434,20 +441,22 @@
         if (a.stopping()) {
           // Launches travel in report responses only, so a newer report of a worker that obeys
           // this term and does not list the attempt proves that it never started.
-          if (fresh) {
+          // A launch sent straight to the worker may still come.
+          if (fresh && !a.inFlight) {
             resolve(a, Outcome.LOST, now);
           }
         } else if (mayLaunch) {
+          a.sent = true;
           orders.add(order(Order.Kind.LAUNCH, a, 0));
         }
-      } else if (a.phase != Attempt.Phase.RECORDING && fresh) {
+      } else if (a.phase != Attempt.Phase.RECORDING && fresh && !a.inFlight) {
         resolve(a, Outcome.LOST, now);
       }
     }
     return orders;
   }
 
-  private void orphan(WorkerReport.Entry e, Job job, List<Order> orders) {
+  private void orphan(Machine m, WorkerReport.Entry e, Job job, List<Order> orders) {
     if (e.state() != WorkerReport.State.EXITED) {
       orders.add(new Order(Order.Kind.STOP, e.job(), e.task(), e.attempt(), 0));
       return;
@@ -457,7 +466,7 @@
             && e.task() >= 0
             && e.task() < job.spec.tasks()
             && job.chunks[e.task() / Chunk.TASKS].dirty;
-    if (!uncommitted) {
+    if (!uncommitted && !m.unfenced.contains(Attempt.key(e.job(), e.task(), e.attempt()))) {
       orders.add(new Order(Order.Kind.CLEAR, e.job(), e.task(), e.attempt(), 0));
     }
   }
@@ -502,6 +511,62 @@
     return new Order(kind, a.job.spec.id(), a.task, a.number, graceS);
   }
 
+  /**
+   * Orders to be sent straight to the worker now: launches that no message has carried yet, and
+   * stops. Launches count as in flight until {@link #answered}.
+   */
+  public List<Order> direct(Machine m, boolean mayLaunch, long now) {
+    List<Order> orders = new ArrayList<>();
+    // Only a worker that obeys this term and was heard a moment ago is worth the risk.
+    if (!m.usable() || m.tokenSeen < term || now - m.reportedMs > freshMs) {
+      return orders;
+    }
+    for (Attempt a : m.attempts) {
+      if (a.session != m.session) {
+        continue;
+      }
+      if (a.phase == Attempt.Phase.READY && !a.sent && !a.stopping() && mayLaunch) {
+        a.sent = true;
+        a.inFlight = true;
+        orders.add(order(Order.Kind.LAUNCH, a, 0));
+      } else if (a.stopping()
+          && !a.stopSent
+          && (a.phase == Attempt.Phase.PULLING || a.phase == Attempt.Phase.RUNNING)) {
+        a.stopSent = true;
+        orders.add(order(Order.Kind.STOP, a, a.stopGraceS));
+      }
+    }
+    return orders;
+  }
+
+  /** The worker answered direct orders, or certainly never got them: no launch is in flight. */
+  public void answered(Machine m, List<Order> orders) {
+    for (Order o : orders) {
+      m.unfenced.remove(Attempt.key(o.job(), o.task(), o.attempt()));
+      for (Attempt a : m.attempts) {
+        if (a.job.spec.id().equals(o.job()) && a.task == o.task() && a.number == o.attempt()) {
+          a.inFlight = false;
+        }
+      }
+    }
+  }
+
+  /**
+   * True when an attempt that is not wanted any more may still be started by a launch in flight:
+   * only the machine's deletion ends that in time.
+   */
+  public boolean mustFence(Machine m, long now) {
+    for (Attempt a : m.attempts) {
+      if (a.inFlight
+          && a.stopping()
+          && a.phase == Attempt.Phase.READY
+          && now - a.stopSinceMs > FENCE_MS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The machine and all on it are proven gone. */
   public void machineGone(Machine m, long now) {
     for (Attempt a : new ArrayList<>(m.attempts)) {
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -58,6 +58,12 @@
   public long emptySinceMs;
 
   final ObjectLinkedOpenHashSet<Attempt> attempts = new ObjectLinkedOpenHashSet<>();
+  /**
+   * Exited attempts with a launch still in flight: were they cleared, the launch would start them
+   * again, so they stay in the worker's memory.
+   */
+  final ObjectOpenHashSet<String> unfenced = new ObjectOpenHashSet<>();
+
   final Room free;
   final Int2DoubleLinkedOpenHashMap images = new Int2DoubleLinkedOpenHashMap();
   final ObjectOpenHashSet<String> errorJobs = new ObjectOpenHashSet<>();
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -25,7 +25,7 @@
   }
 
   /** A waiting job's place in the queue, computed anew for each pass. */
-  private record Rank(Job job, boolean guaranteed, double dueMs) {}
+  private record Rank(Job job, double dueMs) {}
 
   /** Jobs with tasks that wait, in the order in which they get room. */
   public List<Job> queue(long now) {
@@ -45,18 +45,18 @@
       int left = s.tasks() - j.doneCount();
       cpus[s.team()] += left * s.cpus();
       cards[s.team()] += left * s.cards();
+      Team team = ledger.team(s);
+      j.guaranteed =
+          cpus[s.team()] <= team.cpus + Room.EPS && cards[s.team()] <= team.cards + Room.EPS;
       if (j.waiting()) {
-        Team team = ledger.team(s);
-        boolean guaranteed =
-            cpus[s.team()] <= team.cpus + Room.EPS && cards[s.team()] <= team.cards + Room.EPS;
         // Without a deadline a job counts as due after three times its estimate.
         double due = s.dueS() > 0 ? s.dueS() : 3 * s.estimateS() + 60;
-        ranks.add(new Rank(j, guaranteed, s.submittedMs() + due * 1000));
+        ranks.add(new Rank(j, s.submittedMs() + due * 1000));
       }
     }
     ranks.sort(
         Comparator.comparingInt((Rank r) -> r.job.spec.priority())
-            .thenComparingInt(r -> r.guaranteed ? 0 : 1)
+            .thenComparingInt(r -> r.job.guaranteed ? 0 : 1)
             .thenComparingDouble(Rank::dueMs)
             .thenComparing(r -> r.job.spec.id()));
     queue.clear();
@@ -187,7 +187,7 @@
     if (waited < PREEMPT_AFTER_MS || !team.allows(s, 1)) {
       return;
     }
-    boolean guarantee = waited >= GUARANTEE_AFTER_MS && team.guarantees(s);
+    boolean guarantee = waited >= GUARANTEE_AFTER_MS && job.guaranteed && team.guarantees(s);
     List<Attempt> best = null;
     double bestLoss = Double.MAX_VALUE;
     for (Machine m : order) {
@@ -270,8 +270,11 @@
     if (theirs > ours) {
       return true;
     }
+    // Only work that stands behind this job in the queue may be stopped at the same priority:
+    // otherwise it would take the room again at once, and the two would stop each other for ever.
     return guarantee
         && theirs == ours
+        && !a.job.guaranteed
         && a.job.spec.team() != by.spec.team()
         && ledger.team(a.job.spec).borrows(a.job.spec);
   }
--- a/src/main/java/org/mallowroad/net/HttpCaller.java
+++ b/src/main/java/org/mallowroad/net/HttpCaller.java
@@ -107,6 +107,14 @@
         OptionMap.EMPTY);
   }
 
+  /** Closes the kept connections. */
+  public void close() {
+    ClientConnection c;
+    while ((c = idle.pollFirst()) != null) {
+      IoUtils.safeClose(c);
+    }
+  }
+
   private final class Call {
     private final HttpString method;
     private final String path;
--- a/src/main/java/org/mallowroad/net/Loop.java
+++ b/src/main/java/org/mallowroad/net/Loop.java
@@ -14,6 +14,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
 
   private final XnioIoThread thread;
+  private volatile boolean closed;
 
   /** Over an I/O thread. */
   public Loop(XnioIoThread thread) {
@@ -30,13 +31,24 @@
     return System.nanoTime() / 1_000_000L;
   }
 
+  /** Ends all duties: what asks for a timer from now on gets none. */
+  public void close() {
+    closed = true;
+  }
+
   /** Runs soon on the loop. */
   public void soon(Runnable task) {
+    if (closed) {
+      return;
+    }
     thread.execute(() -> guarded(task));
   }
 
   /** Runs once after a delay, unless cancelled. */
   public Timer after(long ms, Runnable task) {
+    if (closed) {
+      return () -> false;
+    }
     XnioExecutor.Key key =
         thread.executeAfter(() -> guarded(task), Math.max(1, ms), TimeUnit.MILLISECONDS);
     return key::remove;
@@ -77,7 +89,7 @@
     }
 
     void next() {
-      if (!over) {
+      if (!over && !closed) {
         key =
             thread.executeAfter(
                 () -> {
--- a/src/main/java/org/mallowroad/wire/WorkerCodec.java
+++ b/src/main/java/org/mallowroad/wire/WorkerCodec.java
@@ -57,7 +57,14 @@
         entries);
   }
 
-  /** A response or a direct message to a worker. */
+  /** A direct message to a worker's session. */
+  public static ObjectNode direct(long token, long session, List<Order> orders) {
+    ObjectNode o = orders(token, orders);
+    o.put(Fields.SESSION, session);
+    return o;
+  }
+
+  /** A response to a worker. */
   public static ObjectNode orders(long token, List<Order> orders) {
     ObjectNode o = Json.object();
     o.put(Fields.TOKEN, token);
