--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -201,7 +201,7 @@
           });
       return;
     }
-    writes.take(txn.writes(), loop.now());
+    writes.force(txn.writes(), loop.now());
     busy = true;
     if (txn.writes() == 0) {
       busy = false;
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -89,9 +89,10 @@
                     site.settings.leaseS() / 2,
                     site.settings.cancelS() - site.settings.leaseS() - 4)
                 * 1000);
-    Budget writes =
-        new Budget(
-            site.settings.stateWriteRps() * 0.7, site.settings.stateWriteRps() * 0.7, loop.now());
+    double writeRps = site.settings.stateWriteRps();
+    // A transaction larger than the bucket would wait for ever, so the one bounds the other.
+    int maxOps = (int) Math.max(4, Math.min(site.settings.txnOps(), writeRps * 0.8));
+    Budget writes = new Budget(writeRps * 0.7, Math.max(maxOps, writeRps * 0.7), loop.now());
     this.committer =
         new Committer(
             loop,
@@ -100,7 +101,7 @@
             ledger,
             site.zones,
             mark,
-            site.settings.txnOps(),
+            maxOps,
             new Committer.Events() {
               @Override
               public void deposed() {
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -58,6 +58,7 @@
   public long emptySinceMs;
 
   final ObjectLinkedOpenHashSet<Attempt> attempts = new ObjectLinkedOpenHashSet<>();
+
   /**
    * Exited attempts with a launch still in flight: were they cleared, the launch would start them
    * again, so they stay in the worker's memory.
--- a/src/main/java/org/mallowroad/net/Budget.java
+++ b/src/main/java/org/mallowroad/net/Budget.java
@@ -39,6 +39,8 @@
   /** Milliseconds until {@code n} tokens are there. */
   public long waitMs(double n, long now) {
     refill(now);
-    return tokens >= n ? 0 : (long) Math.ceil((n - tokens) / perMs);
+    // More than a full bucket is never there: a full one must do, or the caller waits for ever.
+    double need = Math.min(n, burst);
+    return tokens >= need ? 0 : (long) Math.ceil((need - tokens) / perMs);
   }
 }
