--- a/src/main/java/org/mallowroad/config/Settings.java
+++ b/src/main/java/org/mallowroad/config/Settings.java
@@ -19,6 +19,7 @@
     Endpoint state,
     List<String> zones,
     List<TeamSetting> teams,
+    List<Objective> objectives,
     double reportS,
     double leaseS,
     double cancelS,
@@ -42,6 +43,9 @@
   /** Another controller. */
   public record Member(String node, String zone, Endpoint endpoint) {}
 
+  /** One of the users' aims; which fields it has depends on its kind. */
+  public record Objective(String kind, String taskClass, double withinS) {}
+
   /** A team's guarantee and limit. */
   public record TeamSetting(
       String name, double cpus, double cards, double cpusMax, double cardsMax) {}
@@ -91,6 +95,14 @@
                 amount(t, "cpus_max", "params.teams.cpus_max", 0),
                 amount(t, "gpus_max", "params.teams.gpus_max", 0)));
       }
+      List<Objective> objectives = new ArrayList<>();
+      for (JsonNode o : list(params, "objectives", "params.objectives", false)) {
+        objectives.add(
+            new Objective(
+                text(o, "kind", "params.objectives.kind"),
+                o.has("class") ? text(o, "class", "params.objectives.class") : "",
+                amount(o, "within_s", "params.objectives.within_s", 0)));
+      }
       JsonNode resources = params.path("resources");
       return new Settings(
           text(root, "node_name", "node_name"),
@@ -102,6 +114,7 @@
           endpoint(outside, "state", "outside.state"),
           zones,
           teams,
+          objectives,
           positive(workers, "report_s", "params.workers.report_s"),
           positive(workers, "lease_s", "params.workers.lease_s"),
           positive(workers, "cancel_s", "params.workers.cancel_s"),
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -101,7 +101,7 @@
     this.cloud = cloud;
     this.site = site;
     this.ledger = ledger;
-    this.fleet = new Fleet(ledger, site.operator.fleet());
+    this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
     this.office = office;
@@ -228,13 +228,13 @@
     List<Coming> out = new ArrayList<>();
     for (Hire h : hires.values()) {
       if (!h.answered) {
-        out.add(new Coming(h.variant, h.count));
+        out.add(new Coming(h.variant, h.count, h.sinceMs));
       }
     }
     for (Expected e : expected.values()) {
       // One that is long overdue may never come: it no longer holds back a replacement.
       if (now - e.rentedMs < (long) (e.variant.type().bootS() * 1800) + 4000) {
-        out.add(new Coming(e.variant, 1));
+        out.add(new Coming(e.variant, 1, e.rentedMs));
       }
     }
     return out;
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -247,7 +247,7 @@
             if (v != null && v.has("open")) {
               JobSpec spec = Records.spec(v.get("open"), site.codec);
               if (spec.team() >= 0) {
-                ledger.withdraw(ledger.accept(spec, 0, loop.now()), loop.now());
+                ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
               }
             }
           } catch (BadMessage e) {
@@ -322,7 +322,7 @@
         LOG.error("event=team_unknown job={}", spec.id());
         return;
       }
-      ledger.accept(spec, i.mark(), loop.now());
+      ledger.accept(spec, i.mark(), System.currentTimeMillis() - spec.submittedMs(), loop.now());
     } catch (BadMessage e) {
       LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
     }
--- a/src/main/java/org/mallowroad/controller/Site.java
+++ b/src/main/java/org/mallowroad/controller/Site.java
@@ -7,6 +7,7 @@
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.MachineType;
 import org.mallowroad.core.Names;
+import org.mallowroad.core.Objectives;
 import org.mallowroad.core.Team;
 import org.mallowroad.wire.JobCodec;
 
@@ -18,6 +19,7 @@
   final Names types = new Names();
   final Names teamNames = new Names();
   final JobCodec codec;
+  final Objectives objectives = new Objectives();
   private List<MachineType> machineTypes = List.of();
 
   /** From the settings. */
@@ -26,7 +28,17 @@
     this.operator = operator;
     settings.zones().forEach(zones::intern);
     settings.teams().forEach(t -> teamNames.intern(t.name()));
-    codec = new JobCodec(teamNames, zones, types, new Names(), new Names());
+    Names classes = new Names();
+    codec = new JobCodec(teamNames, zones, types, new Names(), classes);
+    for (Settings.Objective o : settings.objectives()) {
+      switch (o.kind()) {
+        case "finished" -> objectives.finished(classes.intern(o.taskClass()), o.withinS());
+        case "wait" -> objectives.started(classes.intern(o.taskClass()), o.withinS());
+        case "deadline" -> objectives.deadline(classes.intern(o.taskClass()));
+        case "guarantee" -> objectives.guarantee(o.withinS());
+        default -> {} // Kinds that do not concern starting or finishing.
+      }
+    }
   }
 
   /** Decodes submissions. */
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -27,16 +27,24 @@
   public record Rent(Variant variant, int count) {}
 
   /** Machines rented and not yet reporting: they will take waiting tasks. */
-  public record Coming(Variant variant, int count) {}
+  public record Coming(Variant variant, int count, long sinceMs) {}
 
   private static final long REFUSED_MS = 15_000;
+  private static final long SOON_MS = 3_000;
+
+  private static final double CHEAP = 2;
+
+  /** A rent must bring a start forward by this much. */
+  private static final long WORTH_MS = 5_000;
 
   private final Ledger ledger;
   private final FleetPolicy policy;
+  private final Objectives objectives;
   private final Long2LongOpenHashMap refusedUntil = new Long2LongOpenHashMap();
 
   /** A fleet over a ledger. */
-  public Fleet(Ledger ledger, FleetPolicy policy) {
+  public Fleet(Ledger ledger, FleetPolicy policy, Objectives objectives) {
+    this.objectives = objectives;
     this.ledger = ledger;
     this.policy = policy;
   }
@@ -46,21 +54,31 @@
     refusedUntil.put(v.key(), now + REFUSED_MS);
   }
 
-  /** An empty or partly taken machine into which waiting tasks are counted. */
-  private record Bin(Variant variant, Room room) {}
-
-  /** What to rent now, given the queue and the machines on their way. */
+  /**
+   * What to rent now, given the queue and the machines on their way.
+   *
+   * <p>Averaged spare hides bursts and rooms too small for large tasks, so waiting tasks are also
+   * counted one by one: each is put where it would start first, on a machine there is or that is on
+   * its way. Only when that is later than its job's objective allows, and a machine rented now
+   * would be sooner, is one rented for it. So work that can wait for room does not rent dear
+   * machines.
+   */
   public List<Rent> rents(List<Job> queue, List<Coming> coming, List<MachineType> types, long now) {
-    List<Bin> bins = new ArrayList<>();
+    List<Slot> slots = new ArrayList<>();
+    for (Machine m : ledger.machines()) {
+      if (m.usable()) {
+        slots.add(Slot.of(m, now));
+      }
+    }
     for (Coming c : coming) {
       for (int i = 0; i < c.count; i++) {
-        bins.add(bin(c.variant));
+        slots.add(new Slot(c.variant, Math.max(now + SOON_MS, c.sinceMs + boot(c.variant))));
       }
     }
     int waiting = 0;
     double[] teamCpus = new double[ledger.teams().size()];
     Int2IntOpenHashMap rented = new Int2IntOpenHashMap();
-    List<Bin> added = new ArrayList<>();
+    List<Variant> added = new ArrayList<>();
     for (Job job : queue) {
       JobSpec s = job.spec;
       Team team = ledger.team(s);
@@ -71,42 +89,148 @@
         }
         teamCpus[s.team()] += s.cpus();
         waiting++;
-        if (fill(bins, job) || fill(added, job)) {
-          continue;
+        Slot best = null;
+        long start = Long.MAX_VALUE;
+        for (Slot slot : slots) {
+          long t = slot.start(job, start);
+          if (t < start) {
+            start = t;
+            best = slot;
+          }
+        }
+        if (start > now) {
+          Variant v = cheapest(job, left, types, added, now);
+          if (v != null && rented.get(v.type.index()) < policy.step()) {
+            double fetchS = s.imageGb() / v.type.fetchGbPerS();
+            long limit =
+                (long)
+                    Math.min(
+                        Long.MAX_VALUE / 4.0,
+                        job.submittedMs
+                            + 1000 * objectives.startWithinS(s, fetchS, job.guaranteed));
+            // Waiting saves nothing where machines are cheap.
+            boolean soon = start > limit || cheap(v, types);
+            if (soon && start > now + boot(v) + WORTH_MS) {
+              rented.addTo(v.type.index(), 1);
+              added.add(v);
+              best = new Slot(v, now + boot(v));
+              slots.add(best);
+              start = now + boot(v);
+            }
+          }
         }
-        Variant v = cheapest(job, left, types, added, now);
-        if (v == null || rented.get(v.type.index()) >= policy.step()) {
+        if (best == null) {
           break;
         }
-        rented.addTo(v.type.index(), 1);
-        Bin b = bin(v);
-        b.room.add(s, -1);
-        added.add(b);
+        best.take(job, start);
       }
     }
     if (added.isEmpty() && spareIsLow(waiting, coming)) {
-      Variant v = cheapestOf(types, now);
+      Variant v = cheapestOf(queue, types, now);
       if (v != null) {
-        added.add(bin(v));
+        added.add(v);
       }
     }
     List<Rent> rents = new ArrayList<>();
-    for (Bin b : added) {
+    for (Variant v : added) {
       int at = -1;
       for (int i = 0; i < rents.size(); i++) {
-        if (rents.get(i).variant.equals(b.variant)) {
+        if (rents.get(i).variant.equals(v)) {
           at = i;
         }
       }
       if (at < 0) {
-        rents.add(new Rent(b.variant, 1));
+        rents.add(new Rent(v, 1));
       } else {
-        rents.set(at, new Rent(b.variant, Math.min(50, rents.get(at).count + 1)));
+        rents.set(at, new Rent(v, Math.min(50, rents.get(at).count + 1)));
       }
     }
     return rents;
   }
 
+  /** True when a CPU of the variant costs little more than the cheapest one of all. */
+  private static boolean cheap(Variant v, List<MachineType> types) {
+    double least = Double.MAX_VALUE;
+    for (MachineType t : types) {
+      least = Math.min(least, Math.min(t.price(), t.spotPrice()) / t.cpus());
+    }
+    return v.price() / v.type.cpus() <= CHEAP * least;
+  }
+
+  private static long boot(Variant v) {
+    return (long) (v.type.bootS() * 1050);
+  }
+
+  /** A machine as the forecast sees it: room from a time on, and when more is set free. */
+  private static final class Slot {
+    private final Variant variant;
+    private final Room room;
+    private final List<Release> releases = new ArrayList<>();
+    private long at;
+
+    private record Release(long at, JobSpec job) {}
+
+    Slot(Variant variant, long at) {
+      this.variant = variant;
+      this.at = at;
+      this.room = new Room(variant.type.cpus(), variant.type.cards(), variant.type.memGb());
+    }
+
+    static Slot of(Machine m, long now) {
+      Slot s = new Slot(new Variant(m.type, m.zone, m.spot), now);
+      for (Attempt a : m.attempts) {
+        s.room.add(a.job.spec, -1);
+        double est = a.job.spec.service() ? 1e9 : a.job.spec.estimateS();
+        double left =
+            a.stopping() ? a.job.spec.saveS() : Math.max(est - (now - a.sinceMs) / 1000.0, est / 4);
+        s.add(now + (long) (left * 1000), a.job.spec);
+      }
+      return s;
+    }
+
+    private void add(long time, JobSpec job) {
+      int i = releases.size();
+      while (i > 0 && releases.get(i - 1).at > time) {
+        i--;
+      }
+      releases.add(i, new Release(time, job));
+    }
+
+    /** When a task of the job would have room, or {@code before} if not sooner than that. */
+    long start(Job job, long before) {
+      JobSpec s = job.spec;
+      if (at >= before
+          || !s.allows(variant.type.index(), variant.zone, variant.spot)
+          || !variant.type.fits(s)) {
+        return before;
+      }
+      if (room.fits(s)) {
+        return at;
+      }
+      Room r = new Room(room.cpus, room.cards, room.memGb);
+      for (Release x : releases) {
+        if (x.at >= before) {
+          return before;
+        }
+        r.add(x.job, 1);
+        if (r.fits(s)) {
+          return Math.max(at, x.at);
+        }
+      }
+      return before;
+    }
+
+    void take(Job job, long start) {
+      while (!room.fits(job.spec) && !releases.isEmpty()) {
+        room.add(releases.remove(0).job, 1);
+      }
+      at = Math.max(at, start);
+      room.add(job.spec, -1);
+      double run = job.spec.estimateS() + job.spec.imageGb() / variant.type.fetchGbPerS();
+      add(at + (long) (run * 1000), job.spec);
+    }
+  }
+
   /** The design's trigger: spare averaged over unsaturated machines. */
   boolean spareIsLow(int waiting, List<Coming> coming) {
     int n = 0;
@@ -142,23 +266,9 @@
         || policy.waitingLimit() - each < policy.waitingSpare();
   }
 
-  private static Bin bin(Variant v) {
-    return new Bin(v, new Room(v.type.cpus(), v.type.cards(), v.type.memGb()));
-  }
-
-  private static boolean fill(List<Bin> bins, Job job) {
-    for (Bin b : bins) {
-      if (job.spec.allows(b.variant.type.index(), b.variant.zone, b.variant.spot)
-          && b.room.fits(job.spec)) {
-        b.room.add(job.spec, -1);
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** The variant on which the job's waiting tasks cost least, as far as they fill a machine. */
-  private Variant cheapest(Job job, int left, List<MachineType> types, List<Bin> added, long now) {
+  private Variant cheapest(
+      Job job, int left, List<MachineType> types, List<Variant> added, long now) {
     Variant best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType t : types) {
@@ -174,8 +284,8 @@
             continue;
           }
           int taken = 0;
-          for (Bin b : added) {
-            if (b.variant.equals(v)) {
+          for (Variant b : added) {
+            if (b.equals(v)) {
               taken++;
             }
           }
@@ -191,23 +301,33 @@
     return best;
   }
 
-  private Variant cheapestOf(List<MachineType> types, long now) {
+  /** The cheapest variant; while it is refused the spare trigger rents nothing dearer. */
+  private Variant cheapestOf(List<Job> queue, List<MachineType> types, long now) {
     Variant best = null;
+    double price = Double.MAX_VALUE;
     for (MachineType t : types) {
+      if (!queue.isEmpty() && queue.stream().noneMatch(j -> t.fits(j.spec))) {
+        continue;
+      }
       for (int zone : t.zones()) {
         for (int k = 0; k < 2; k++) {
           Variant v = new Variant(t, zone, k == 0);
-          if (refusedUntil.get(v.key()) <= now && (best == null || v.price() < best.price())) {
+          if (v.price() < price || (v.price() == price && refusedUntil.get(best.key()) > now)) {
+            price = v.price();
             best = v;
           }
         }
       }
     }
-    return best;
+    return best == null || refusedUntil.get(best.key()) > now ? null : best;
   }
 
   /** Empty machines to be returned now, dearest first, as far as the headroom test allows. */
   public List<Machine> returns(boolean anyWaiting, long now) {
+    double least = Double.MAX_VALUE;
+    for (Machine m : ledger.machines()) {
+      least = Math.min(least, Math.min(m.type.price(), m.type.spotPrice()) / m.type.cpus());
+    }
     List<Machine> empty = new ArrayList<>();
     double load = 0;
     double cpus = 0;
@@ -219,7 +339,10 @@
       n++;
       load += m.booked() * m.type.cpus();
       cpus += m.type.cpus();
-      if (m.empty() && now - m.emptySinceMs >= policy.idleMs()) {
+      // The dearer its CPUs, the sooner an idle machine goes: it must pay for the next boot it
+      // saves.
+      double dear = least * m.type.cpus() / Math.max(1e-9, m.type.price(m.spot));
+      if (m.empty() && now - m.emptySinceMs >= policy.idleMs() * Math.min(1, dear)) {
         empty.add(m);
       }
     }
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -34,13 +34,17 @@
   long notBeforeMs;
   long waitingSinceMs;
 
+  /** When it was submitted, on this process's steady clock. */
+  final long submittedMs;
+
   /** True once the user's withdrawal is known; nothing is launched from then on. */
   boolean withdrawn;
 
   /** True once the job's end is recorded. */
   boolean ended;
 
-  Job(JobSpec spec, long mark, int zones, long now) {
+  Job(JobSpec spec, long mark, int zones, long submittedMs, long now) {
+    this.submittedMs = submittedMs;
     this.spec = spec;
     this.mark = mark;
     this.number = new int[spec.tasks()];
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -130,13 +130,17 @@
     return completed;
   }
 
-  /** Takes an open job that is recorded in the state service. */
-  public Job accept(JobSpec spec, long mark, long now) {
+  /**
+   * Takes an open job that is recorded in the state service.
+   *
+   * @param ageMs how long ago it was submitted
+   */
+  public Job accept(JobSpec spec, long mark, long ageMs, long now) {
     Job known = jobs.get(spec.id());
     if (known != null) {
       return known;
     }
-    Job job = new Job(spec, mark, zones.size(), now);
+    Job job = new Job(spec, mark, zones.size(), now - Math.max(0, ageMs), now);
     for (int t = 0; t < spec.tasks(); t++) {
       job.pending.enqueue(t);
     }
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * Places waiting tasks first-fit: by priority, then teams within their guarantee, then age or
- * deadline. Each placement asks the {@link Ledger}; nothing starts that it refuses.
+ * Places waiting tasks first-fit: by priority, then teams within their guarantee, then deadline.
+ * Each placement asks the {@link Ledger}; nothing starts that it refuses.
  */
 public final class Placement {
   /** A task that waits this long for room may preempt others. */
@@ -49,9 +49,7 @@
       j.guaranteed =
           cpus[s.team()] <= team.cpus + Room.EPS && cards[s.team()] <= team.cards + Room.EPS;
       if (j.waiting()) {
-        // Without a deadline a job counts as due after three times its estimate.
-        double due = s.dueS() > 0 ? s.dueS() : 3 * s.estimateS() + 60;
-        ranks.add(new Rank(j, s.submittedMs() + due * 1000));
+        ranks.add(new Rank(j, j.submittedMs + 1000 * patience(s)));
       }
     }
     ranks.sort(
@@ -66,6 +64,11 @@
     return queue;
   }
 
+  /** Without a deadline a job counts as due after three times its estimate and a minute. */
+  private static double patience(JobSpec s) {
+    return s.dueS() > 0 ? s.dueS() : 3 * s.estimateS() + 60;
+  }
+
   /**
    * Places what can be placed now.
    *
