--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -32,6 +32,9 @@
   private static final long REFUSED_MS = 15_000;
   private static final long SOON_MS = 3_000;
 
+  /** Later arrivals may go first, so only a part of the time that is left is planned away. */
+  private static final double PATIENCE = 0.6;
+
   private static final double CHEAP = 2;
 
   /** A rent must bring a start forward by this much. */
@@ -107,7 +110,9 @@
                     Math.min(
                         Long.MAX_VALUE / 4.0,
                         job.submittedMs
-                            + 1000 * objectives.startWithinS(s, fetchS, job.guaranteed));
+                            + 1000
+                                * PATIENCE
+                                * objectives.startWithinS(s, fetchS, job.guaranteed));
             // Waiting saves nothing where machines are cheap.
             boolean soon = start > limit || cheap(v, types);
             if (soon && start > now + boot(v) + WORTH_MS) {
