--- a/src/main/java/org/mallowroad/api/Door.java
+++ b/src/main/java/org/mallowroad/api/Door.java
@@ -19,14 +19,20 @@
   private static final Logger LOG = LoggerFactory.getLogger(Door.class);
   private static final String JOBS = "/v1/jobs";
 
-  private final UserApi users;
+  private final Users users;
   private final ReportApi workers;
   private final Supplier<Boolean> healthy;
   private final Supplier<String> metrics;
 
+  /** Serves what users ask, here or through a peer. */
+  @FunctionalInterface
+  public interface Users {
+    /** Serves one request; a path without a suffix has an empty one. */
+    void serve(String method, String path, byte[] body, Answerer answerer);
+  }
+
   /** Over the parties' handlers. */
-  public Door(
-      UserApi users, ReportApi workers, Supplier<Boolean> healthy, Supplier<String> metrics) {
+  public Door(Users users, ReportApi workers, Supplier<Boolean> healthy, Supplier<String> metrics) {
     this.users = users;
     this.workers = workers;
     this.healthy = healthy;
@@ -42,18 +48,18 @@
       }
     } else if (path.equals(JOBS)) {
       if (allowed(x, true)) {
-        body(x, users::submit);
+        body(x, this::serve);
       }
     } else if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
       int slash = rest.indexOf('/');
       if (slash < 0) {
         if (allowed(x, false)) {
-          async(x, e -> users.query(e, rest));
+          async(x, e -> serve(e, new byte[0]));
         }
       } else if (rest.substring(slash).equals("/withdraw")) {
         if (allowed(x, true)) {
-          body(x, (e, b) -> users.withdraw(e, rest.substring(0, slash)));
+          body(x, this::serve);
         }
       } else {
         Reply.error(x, 404, "no such path");
@@ -76,6 +82,10 @@
     }
   }
 
+  private void serve(HttpServerExchange x, byte[] body) {
+    users.serve(x.getRequestMethod().toString(), x.getRequestPath(), body, Reply.over(x));
+  }
+
   private static boolean allowed(HttpServerExchange x, boolean post) {
     if (x.getRequestMethod().equals(post ? Methods.POST : Methods.GET)) {
       return true;
--- a/src/main/java/org/mallowroad/api/Reply.java
+++ b/src/main/java/org/mallowroad/api/Reply.java
@@ -22,11 +22,26 @@
     x.getResponseSender().send(ByteBuffer.wrap(Json.bytes(body)));
   }
 
-  /** A short reason. */
-  public static void error(HttpServerExchange x, int status, String reason) {
+  /** Answers over HTTP. */
+  public static Answerer over(HttpServerExchange x) {
+    return (status, body, later) -> {
+      if (later) {
+        x.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
+      }
+      json(x, status, body);
+    };
+  }
+
+  /** A short reason as a body. */
+  public static ObjectNode reason(String reason) {
     ObjectNode o = Json.object();
     o.put(Fields.ERROR, reason);
-    json(x, status, o);
+    return o;
+  }
+
+  /** A short reason. */
+  public static void error(HttpServerExchange x, int status, String reason) {
+    json(x, status, reason(reason));
   }
 
   /** Cannot be taken now: said at once, with the time to come back. */
--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.server.HttpServerExchange;
 import it.unimi.dsi.fastutil.objects.Object2BooleanLinkedOpenHashMap;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.net.Budget;
@@ -20,6 +19,7 @@
  * that is not over comes from a current read, so no node is ever behind what another has said.
  */
 public final class UserApi {
+  private static final String JOBS = "/v1/jobs";
   private static final int FINALS = 100_000;
 
   private final Loop loop;
@@ -64,8 +64,21 @@
     }
   }
 
+  /** Serves a request whose path and method the door has checked. */
+  public void serve(String method, String path, byte[] body, Answerer x) {
+    String rest = path.length() > JOBS.length() ? path.substring(JOBS.length() + 1) : "";
+    int slash = rest.indexOf('/');
+    if (rest.isEmpty()) {
+      submit(x, body);
+    } else if (slash < 0) {
+      query(x, rest);
+    } else {
+      withdraw(x, rest.substring(0, slash));
+    }
+  }
+
   /** POST /v1/jobs. */
-  public void submit(HttpServerExchange x, byte[] body) {
+  public void submit(Answerer x, byte[] body) {
     ObjectNode o;
     JobSpec spec;
     ObjectNode value;
@@ -77,27 +90,26 @@
         throw new BadMessage("the submission is too large");
       }
     } catch (BadMessage e) {
-      Reply.error(x, 400, e.getMessage());
+      x.answer(400, Reply.reason(e.getMessage()), false);
       return;
     }
     String id = spec.id();
     if (finals.containsKey(id)) {
-      Reply.json(x, 200, status(id, finals.getBoolean(id)));
+      x.answer(200, status(id, finals.getBoolean(id)), false);
       return;
     }
     if (!jobs.ready()) {
-      Reply.later(x, "machine types not known yet");
+      x.answer(503, Reply.reason("machine types not known yet"), true);
       return;
     }
     String never = jobs.hopeless(spec);
     if (never != null) {
       // What was accepted stays accepted, whatever types and limits say today.
-      known(x, id, () -> Reply.error(x, 422, never));
+      known(x, id, () -> x.answer(422, Reply.reason(never), false));
       return;
     }
     if (!writes.take(1, loop.now())) {
-      x.getResponseHeaders().put(io.undertow.util.Headers.RETRY_AFTER, "1");
-      Reply.error(x, 429, "too many submissions");
+      x.answer(429, Reply.reason("too many submissions"), true);
       return;
     }
     Txn txn =
@@ -110,16 +122,16 @@
               ObjectNode r = Json.object();
               r.put(Fields.ID, id);
               r.put(Fields.STATE, Fields.QUEUED);
-              Reply.json(x, 201, r);
+              x.answer(201, r, false);
             }
-            case NO -> known(x, id, () -> Reply.later(x, "try again"));
-            default -> Reply.later(x, "state service not reached");
+            case NO -> known(x, id, () -> x.answer(503, Reply.reason("try again"), true));
+            default -> x.answer(503, Reply.reason("state service not reached"), true);
           }
         });
   }
 
   /** Answers 200 with the state of a job that is known already, else runs {@code otherwise}. */
-  private void known(HttpServerExchange x, String id, Runnable otherwise) {
+  private void known(Answerer x, String id, Runnable otherwise) {
     read(
         id,
         new Read() {
@@ -130,7 +142,7 @@
 
           @Override
           public void over(boolean done) {
-            Reply.json(x, 200, status(id, done));
+            x.answer(200, status(id, done), false);
           }
 
           @Override
@@ -140,30 +152,30 @@
 
           @Override
           public void failed() {
-            Reply.later(x, "state service not reached");
+            x.answer(503, Reply.reason("state service not reached"), true);
           }
         });
   }
 
   /** GET /v1/jobs/{id}. */
-  public void query(HttpServerExchange x, String id) {
+  public void query(Answerer x, String id) {
     if (!org.mallowroad.wire.JobCodec.ID.matcher(id).matches()) {
-      Reply.error(x, 404, "no such job");
+      x.answer(404, Reply.reason("no such job"), false);
       return;
     }
-    known(x, id, () -> Reply.error(x, 404, "no such job"));
+    known(x, id, () -> x.answer(404, Reply.reason("no such job"), false));
   }
 
   /** POST /v1/jobs/{id}/withdraw. */
-  public void withdraw(HttpServerExchange x, String id) {
+  public void withdraw(Answerer x, String id) {
     if (!org.mallowroad.wire.JobCodec.ID.matcher(id).matches()) {
-      Reply.error(x, 404, "no such job");
+      x.answer(404, Reply.reason("no such job"), false);
       return;
     }
     withdraw(x, id, 0);
   }
 
-  private void withdraw(HttpServerExchange x, String id, int tries) {
+  private void withdraw(Answerer x, String id, int tries) {
     read(
         id,
         new Read() {
@@ -181,28 +193,28 @@
                 (result, revision, failed) -> {
                   if (result == Result.OK) {
                     ended(id, false);
-                    Reply.json(x, 200, status(id, false));
+                    x.answer(200, status(id, false), false);
                   } else if (result == Result.NO && tries < 2) {
                     withdraw(x, id, tries + 1);
                   } else {
-                    Reply.later(x, "state service not reached");
+                    x.answer(503, Reply.reason("state service not reached"), true);
                   }
                 });
           }
 
           @Override
           public void over(boolean done) {
-            Reply.json(x, 200, status(id, done));
+            x.answer(200, status(id, done), false);
           }
 
           @Override
           public void unknown() {
-            Reply.error(x, 404, "no such job");
+            x.answer(404, Reply.reason("no such job"), false);
           }
 
           @Override
           public void failed() {
-            Reply.later(x, "state service not reached");
+            x.answer(503, Reply.reason("state service not reached"), true);
           }
         });
   }
@@ -258,10 +270,10 @@
   }
 
   /** An open job's state with its counts: the leader's own, else those of the run records. */
-  private void counts(HttpServerExchange x, String id) {
+  private void counts(Answerer x, String id) {
     int[] own = jobs.counts(id);
     if (own != null) {
-      Reply.json(x, 200, open(id, own[0], own[1]));
+      x.answer(200, open(id, own[0], own[1]), false);
       return;
     }
     state.list(
@@ -275,7 +287,7 @@
               running += i.value().path("live").size();
             }
           }
-          Reply.json(x, 200, open(id, done, running));
+          x.answer(200, open(id, done, running), false);
         });
   }
 
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -425,7 +425,8 @@
   }
 
   private void placeNow() {
-    if (acting && firm()) {
+    // Machines that reported in this term may get work; the fleet waits for the whole round.
+    if (firm()) {
       placement.drain(loop.now());
       placement.place(loop.now());
     }
@@ -435,7 +436,7 @@
 
   /** Sends what waits straight to the workers, one message a worker at a time. */
   private void push() {
-    if (!acting || !firm()) {
+    if (!firm()) {
       return;
     }
     long now = loop.now();
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -11,7 +11,9 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.util.function.Consumer;
+import org.mallowroad.api.Answerer;
 import org.mallowroad.api.Door;
+import org.mallowroad.api.Reply;
 import org.mallowroad.api.UserApi;
 import org.mallowroad.cloud.CloudApi;
 import org.mallowroad.config.Settings;
@@ -22,6 +24,7 @@
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.HttpCaller;
 import org.mallowroad.net.Loop;
+import org.mallowroad.peer.Peers;
 import org.mallowroad.state.StateStore;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.worker.ReportApi;
@@ -47,6 +50,7 @@
   private final WorkerClient workers;
   private final UserApi users;
   private final ReportApi reports;
+  private final Peers peers;
   private final Undertow server;
   private Leader leader;
   private PrometheusMeterRegistry registry;
@@ -90,12 +94,14 @@
             s.valueKb());
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
     this.reports = new ReportApi(new NodeReports());
-    Door door = new Door(users, reports, this::healthy, this::metrics);
+    this.peers = new Peers(loop, buffers, s.members(), new NodePeers());
+    Door door = new Door(this::serve, reports, this::healthy, this::metrics);
     this.server =
         Undertow.builder()
             .setWorker(worker)
             .setByteBufferPool(buffers)
             .addHttpListener(s.listen().port(), s.listen().host(), door)
+            .addHttpListener(s.peerListen().port(), s.peerListen().host(), peers)
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
@@ -141,6 +147,33 @@
         });
   }
 
+  /** Serves a user's request here or, without the state service, through a peer that has it. */
+  private void serve(String method, String path, byte[] body, Answerer answerer) {
+    if (site.settings().members().isEmpty()) {
+      users.serve(method, path, body, answerer);
+    } else if (state.failing()) {
+      peers.relay(
+          method,
+          path,
+          body,
+          answerer,
+          () -> answerer.answer(503, Reply.reason("state service not reached"), true));
+    } else {
+      users.serve(
+          method,
+          path,
+          body,
+          (status, answer, later) -> {
+            if (status == 503) {
+              peers.relay(
+                  method, path, body, answerer, () -> answerer.answer(status, answer, later));
+            } else {
+              answerer.answer(status, answer, later);
+            }
+          });
+    }
+  }
+
   private boolean healthy() {
     return !site.machineTypes().isEmpty();
   }
@@ -161,6 +194,7 @@
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
       gauge("mallowroad.garbled.state", n -> n.state.wrong());
       gauge("mallowroad.garbled.cloud", n -> n.cloud.wrong());
+      gauge("mallowroad.garbled.peers", n -> n.peers.wrong());
       gauge("mallowroad.garbled.workers", n -> n.reports.wrong());
     }
     return registry.scrape();
@@ -185,6 +219,7 @@
               workers,
               job -> users.ended(job.spec.id(), true));
       leader.start();
+      peers.announce(site.settings.node(), term);
     }
 
     @Override
@@ -219,6 +254,18 @@
     }
   }
 
+  private final class NodePeers implements Peers.Listener {
+    @Override
+    public void announced(String node, long term) {
+      election.announced(node, term);
+    }
+
+    @Override
+    public void relayed(String method, String path, byte[] body, Answerer answerer) {
+      users.serve(method, path, body, answerer);
+    }
+  }
+
   private final class NodeReports implements ReportApi.Reports {
     @Override
     public void sawToken(long token) {
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -110,9 +110,7 @@
                     Math.min(
                         Long.MAX_VALUE / 4.0,
                         job.submittedMs
-                            + 1000
-                                * PATIENCE
-                                * objectives.startWithinS(s, fetchS, job.guaranteed));
+                            + 1000 * PATIENCE * objectives.startWithinS(s, fetchS, job.guaranteed));
             // Waiting saves nothing where machines are cheap.
             boolean soon = start > limit || cheap(v, types);
             if (soon && start > now + boot(v) + WORTH_MS) {
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -268,6 +268,16 @@
     listener.deposed();
   }
 
+  /** Another node made its term known: a node cut from the state service hears it here first. */
+  public void announced(String other, long otherTerm) {
+    if (otherTerm >= seenTerm()) {
+      sawTerm(otherTerm);
+      if (!leading) {
+        leader = other;
+      }
+    }
+  }
+
   /** A higher term was seen in a message: this node's own office is over. */
   public void sawTerm(long other) {
     seenTerm = Math.max(seenTerm, other);
--- /dev/null
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -0,0 +1,170 @@
+package org.mallowroad.peer;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.api.Answerer;
+import org.mallowroad.config.Settings.Member;
+import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Loop;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The other controllers. A new leader announces its term, so that a deposed one that is cut from
+ * the state service yields at once; and a node cut from the state service passes users' requests
+ * on. Nothing here decides anything: a lost message costs time, never a rule.
+ */
+public final class Peers implements HttpHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+  private static final String ANNOUNCE = "/announce";
+  private static final String RELAY = "/relay";
+  private static final long TIMEOUT_MS = 1_200;
+
+  private final Loop loop;
+  private final PeerCodec codec = new PeerCodec();
+  private final List<HttpCaller> callers = new ArrayList<>();
+  private final Listener listener;
+  private int next;
+  private long wrong;
+
+  /** What the node does with its peers' messages. */
+  public interface Listener {
+    /** Another node says that it leads. */
+    void announced(String node, long term);
+
+    /** Serves a user's request that a peer passed on; it is not passed on again. */
+    void relayed(String method, String path, byte[] body, Answerer answerer);
+  }
+
+  /** Over the members. */
+  public Peers(Loop loop, ByteBufferPool buffers, List<Member> members, Listener listener) {
+    this.loop = loop;
+    this.listener = listener;
+    for (Member m : members) {
+      callers.add(new HttpCaller(loop, buffers, m.endpoint(), "avro/binary", 16));
+    }
+  }
+
+  /** Messages that could not be read. */
+  public long wrong() {
+    return wrong;
+  }
+
+  /** Tells all peers who leads. */
+  public void announce(String node, long term) {
+    byte[] message = codec.encode(new PeerCodec.Announce(node, term));
+    for (HttpCaller c : callers) {
+      announce(c, message, 3);
+    }
+  }
+
+  private void announce(HttpCaller c, byte[] message, int tries) {
+    c.call(
+        Methods.POST,
+        ANNOUNCE,
+        message,
+        TIMEOUT_MS,
+        new HttpCaller.Answer() {
+          @Override
+          public void answered(int status, byte[] body) {}
+
+          @Override
+          public void failed(boolean sent) {
+            if (tries > 1) {
+              loop.after(500, () -> announce(c, message, tries - 1));
+            }
+          }
+        });
+  }
+
+  /** Passes a user's request on to a peer, then to the next; {@code failed} when none serves it. */
+  public void relay(String method, String path, byte[] body, Answerer answerer, Runnable failed) {
+    relay(codec.encode(new PeerCodec.Relay(method, path, body)), 0, answerer, failed);
+  }
+
+  private void relay(byte[] message, int tried, Answerer answerer, Runnable failed) {
+    if (tried == callers.size()) {
+      failed.run();
+      return;
+    }
+    callers
+        .get(Math.floorMod(next, callers.size()))
+        .call(
+            Methods.POST,
+            RELAY,
+            message,
+            TIMEOUT_MS,
+            new HttpCaller.Answer() {
+              @Override
+              public void answered(int status, byte[] bytes) {
+                try {
+                  PeerCodec.Relayed r = codec.relayed(bytes);
+                  if (r.status() < 500 && r.status() != 429) {
+                    answerer.answer(r.status(), Json.parseObject(r.body()), false);
+                    return;
+                  }
+                } catch (BadMessage e) {
+                  wrong++;
+                  LOG.warn("event=peer_garbled reason=\"{}\"", e.getMessage());
+                }
+                another();
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                another();
+              }
+
+              private void another() {
+                next++;
+                relay(message, tried + 1, answerer, failed);
+              }
+            });
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange x) {
+    x.getRequestReceiver()
+        .receiveFullBytes(
+            (e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> handle(e, bytes)));
+  }
+
+  private void handle(HttpServerExchange x, byte[] bytes) {
+    try {
+      if (x.getRequestPath().equals(ANNOUNCE)) {
+        PeerCodec.Announce a = codec.announce(bytes);
+        listener.announced(a.node(), a.term());
+        x.setStatusCode(204);
+        x.endExchange();
+      } else if (x.getRequestPath().equals(RELAY)) {
+        PeerCodec.Relay r = codec.relay(bytes);
+        listener.relayed(
+            r.method(), r.path(), r.body(), (status, body, later) -> answer(x, status, body));
+      } else {
+        x.setStatusCode(404);
+        x.endExchange();
+      }
+    } catch (BadMessage e) {
+      wrong++;
+      LOG.warn("event=peer_garbled reason=\"{}\"", e.getMessage());
+      x.setStatusCode(400);
+      x.endExchange();
+    }
+  }
+
+  private void answer(HttpServerExchange x, int status, ObjectNode body) {
+    if (!x.isResponseStarted()) {
+      byte[] b = codec.encode(new PeerCodec.Relayed(status, Json.bytes(body)));
+      x.getResponseSender().send(ByteBuffer.wrap(b));
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -26,6 +26,7 @@
   private final HttpCaller caller;
   private final HttpCaller follower;
   private long contactMs = Long.MIN_VALUE / 2;
+  private long failedMs = Long.MIN_VALUE / 2;
   private long wrong;
 
   /** How a call went. */
@@ -85,6 +86,11 @@
     return contactMs;
   }
 
+  /** True when the newest sign of the service is a failure of a moment ago. */
+  public boolean failing() {
+    return failedMs > contactMs && loop.now() - failedMs < 3_000;
+  }
+
   /** Answers that were not what the protocol says. */
   public long wrong() {
     return wrong;
@@ -291,6 +297,8 @@
     public final void answered(int status, byte[] body) {
       if (status == 200 || status == 404 || status == 409 || status == 410) {
         contactMs = loop.now();
+      } else if (status == 503) {
+        failedMs = loop.now();
       }
       ObjectNode o = Json.object();
       if (status < 500 && status != 429 && body.length > 0) {
@@ -318,6 +326,7 @@
 
     @Override
     public final void failed(boolean sent) {
+      failedMs = loop.now();
       none(sent);
     }
   }
