--- /dev/null
+++ b/src/main/java/org/mallowroad/cli/Remote.java
@@ -0,0 +1,115 @@
+package org.mallowroad.cli;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Commands that ask a running service; the body goes to standard output. */
+abstract class Remote implements Callable<Integer> {
+  @Option(
+      names = "--server",
+      paramLabel = "HOST:PORT",
+      defaultValue = "127.0.0.1:8080",
+      description = "A controller (default: ${DEFAULT-VALUE}).")
+  private String server;
+
+  /** Sends a request; exit code 0 on success, 1 when refused, 3 when nobody answers. */
+  final int ask(String method, String path, byte[] body) throws InterruptedException {
+    HttpResponse<String> r;
+    try {
+      r =
+          HttpClient.newBuilder()
+              .version(HttpClient.Version.HTTP_1_1)
+              .connectTimeout(Duration.ofSeconds(5))
+              .build()
+              .send(
+                  HttpRequest.newBuilder(URI.create("http://" + server + path))
+                      .timeout(Duration.ofSeconds(10))
+                      .method(method, HttpRequest.BodyPublishers.ofByteArray(body))
+                      .build(),
+                  HttpResponse.BodyHandlers.ofString());
+    } catch (IOException | IllegalArgumentException e) {
+      System.err.println("mallowroad: " + server + ": " + e);
+      return 3;
+    }
+    System.out.println(r.body().stripTrailing());
+    if (r.statusCode() / 100 == 2) {
+      return 0;
+    }
+    System.err.println("mallowroad: " + server + " answered " + r.statusCode());
+    return 1;
+  }
+
+  /** Submits the job that a JSON file describes. */
+  @Command(
+      name = "submit",
+      mixinStandardHelpOptions = true,
+      description = "Submits the job described in a JSON file; the same file again is harmless.")
+  static final class Submit extends Remote {
+    @Parameters(paramLabel = "FILE", description = "The job (JSON).")
+    private Path file;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      byte[] body;
+      try {
+        body = Files.readAllBytes(file);
+      } catch (IOException e) {
+        System.err.println("mallowroad: " + file + ": cannot be read");
+        return 2;
+      }
+      return ask("POST", "/v1/jobs", body);
+    }
+  }
+
+  /** Shows a job. */
+  @Command(
+      name = "job",
+      mixinStandardHelpOptions = true,
+      description = "Shows a job's state and counts.")
+  static final class Show extends Remote {
+    @Parameters(paramLabel = "ID", description = "The job's id.")
+    private String id;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return ask("GET", "/v1/jobs/" + id, new byte[0]);
+    }
+  }
+
+  /** Withdraws a job. */
+  @Command(
+      name = "withdraw",
+      mixinStandardHelpOptions = true,
+      description = "Withdraws a job; its tasks are stopped.")
+  static final class Withdraw extends Remote {
+    @Parameters(paramLabel = "ID", description = "The job's id.")
+    private String id;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      return ask("POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
+    }
+  }
+
+  /** Shows a node's own state. */
+  @Command(
+      name = "status",
+      mixinStandardHelpOptions = true,
+      description = "Shows a controller's metrics: who leads, open jobs, machines.")
+  static final class Status extends Remote {
+    @Override
+    public Integer call() throws InterruptedException {
+      return ask("GET", "/metrics", new byte[0]);
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -10,6 +10,8 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import org.mallowroad.api.Answerer;
 import org.mallowroad.api.Door;
@@ -112,13 +114,29 @@
   }
 
   /** Begins to serve. */
-  public void start() {
-    server.start();
-    loop.soon(
-        () -> {
-          types();
-          election.start();
-        });
+  public void start() throws IOException {
+    // All of it on the loop, while the calling thread only waits: one thread at a time reads files
+    // and sockets, also while the process starts.
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    worker
+        .getIoThread()
+        .execute(
+            () -> {
+              try {
+                server.start();
+                types();
+                election.start();
+                started.complete(null);
+              } catch (RuntimeException e) {
+                started.completeExceptionally(e);
+              }
+            });
+    try {
+      started.join();
+    } catch (CompletionException e) {
+      stop();
+      throw new IOException(site.settings().listen() + ": " + e.getCause().getMessage(), e);
+    }
     LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
   }
 
@@ -219,7 +237,8 @@
               workers,
               job -> users.ended(job.spec.id(), true));
       leader.start();
-      peers.announce(site.settings.node(), term);
+      // After the takeover's first reads are under way: they matter more.
+      loop.after(100, () -> peers.announce(site.settings().node(), term));
     }
 
     @Override
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -30,7 +30,7 @@
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
-  private final PeerCodec codec = new PeerCodec();
+  private PeerCodec codec;
   private final List<HttpCaller> callers = new ArrayList<>();
   private final Listener listener;
   private int next;
@@ -54,6 +54,14 @@
     }
   }
 
+  /** Made on first use: a start on a fraction of a core must not pay for Avro's classes. */
+  private PeerCodec codec() {
+    if (codec == null) {
+      codec = new PeerCodec();
+    }
+    return codec;
+  }
+
   /** Messages that could not be read. */
   public long wrong() {
     return wrong;
@@ -61,7 +69,7 @@
 
   /** Tells all peers who leads. */
   public void announce(String node, long term) {
-    byte[] message = codec.encode(new PeerCodec.Announce(node, term));
+    byte[] message = codec().encode(new PeerCodec.Announce(node, term));
     for (HttpCaller c : callers) {
       announce(c, message, 3);
     }
@@ -88,7 +96,7 @@
 
   /** Passes a user's request on to a peer, then to the next; {@code failed} when none serves it. */
   public void relay(String method, String path, byte[] body, Answerer answerer, Runnable failed) {
-    relay(codec.encode(new PeerCodec.Relay(method, path, body)), 0, answerer, failed);
+    relay(codec().encode(new PeerCodec.Relay(method, path, body)), 0, answerer, failed);
   }
 
   private void relay(byte[] message, int tried, Answerer answerer, Runnable failed) {
@@ -107,7 +115,7 @@
               @Override
               public void answered(int status, byte[] bytes) {
                 try {
-                  PeerCodec.Relayed r = codec.relayed(bytes);
+                  PeerCodec.Relayed r = codec().relayed(bytes);
                   if (r.status() < 500 && r.status() != 429) {
                     answerer.answer(r.status(), Json.parseObject(r.body()), false);
                     return;
@@ -141,12 +149,12 @@
   private void handle(HttpServerExchange x, byte[] bytes) {
     try {
       if (x.getRequestPath().equals(ANNOUNCE)) {
-        PeerCodec.Announce a = codec.announce(bytes);
+        PeerCodec.Announce a = codec().announce(bytes);
         listener.announced(a.node(), a.term());
         x.setStatusCode(204);
         x.endExchange();
       } else if (x.getRequestPath().equals(RELAY)) {
-        PeerCodec.Relay r = codec.relay(bytes);
+        PeerCodec.Relay r = codec().relay(bytes);
         listener.relayed(
             r.method(), r.path(), r.body(), (status, body, later) -> answer(x, status, body));
       } else {
@@ -163,7 +171,7 @@
 
   private void answer(HttpServerExchange x, int status, ObjectNode body) {
     if (!x.isResponseStarted()) {
-      byte[] b = codec.encode(new PeerCodec.Relayed(status, Json.bytes(body)));
+      byte[] b = codec().encode(new PeerCodec.Relayed(status, Json.bytes(body)));
       x.getResponseSender().send(ByteBuffer.wrap(b));
     }
   }
