--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -33,7 +33,7 @@
   private static final long SOON_MS = 3_000;
 
   /** Later arrivals may go first, so only a part of the time that is left is planned away. */
-  private static final double PATIENCE = 0.6;
+  private static final double PATIENCE = 0.4;
 
   private static final double CHEAP = 2;
 
