--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -334,6 +334,78 @@
             }));
   }
 
+  @TestFactory
+  Stream<DynamicTest> directOrders() {
+    return Stream.of(
+        rule(
+            "a launch is sent straight once, and only to a worker that obeys this term",
+            w -> {
+              Machine old = w.ledger.meet("n-2", w.type, 0, false, w.now);
+              w.report(old, 1, TERM - 1);
+              w.start(w.job("job-1", 1, 1), 0, old);
+              assertEquals(List.of(), w.ledger.direct(old, true, w.now));
+              Machine m = w.machine("n-1", 0);
+              w.start(w.job("job-2", 1, 1), 0, m);
+              assertEquals(List.of(), w.ledger.direct(m, false, w.now));
+              assertEquals(
+                  List.of(new Order(Order.Kind.LAUNCH, "job-2", 0, 1, 0)),
+                  w.ledger.direct(m, true, w.now));
+              assertEquals(List.of(), w.ledger.direct(m, true, w.now));
+            }),
+        rule(
+            "an exit is not cleared while a launch of the attempt may still arrive",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 2, 1);
+              Attempt a = w.start(j, 0, m);
+              List<Order> sent = w.ledger.direct(m, true, w.now);
+              WorkerReport.Entry exit = World.entry(a, State.EXITED, "done");
+              w.report(m, 1, TERM, exit);
+              w.commit();
+              assertEquals(List.of(), w.report(m, 1, TERM, exit));
+              w.ledger.answered(m, sent);
+              assertEquals(
+                  List.of(new Order(Order.Kind.CLEAR, "job-1", 0, 1, 0)),
+                  w.report(m, 1, TERM, exit));
+            }),
+        rule(
+            "a withdrawn attempt with a launch in flight counts until its machine is deleted",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 1, 1);
+              Attempt a = w.start(j, 0, m);
+              w.ledger.direct(m, true, w.now);
+              w.ledger.withdraw(j, w.now);
+              w.report(m, 1, TERM);
+              assertEquals(Attempt.Phase.READY, a.phase);
+              assertFalse(w.ledger.mustFence(m, w.now));
+              w.now += 9_000;
+              assertTrue(w.ledger.mustFence(m, w.now));
+              w.ledger.machineGone(m, w.now);
+              assertTrue(j.finished());
+            }),
+        rule(
+            "a later session fences a launch in flight",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 1, 1);
+              Attempt a = w.start(j, 0, m);
+              w.ledger.direct(m, true, w.now);
+              w.report(m, 2, TERM);
+              assertEquals(Attempt.Phase.GONE, a.phase);
+              assertTrue(m.unfenced.isEmpty());
+            }),
+        rule(
+            "a launch refused as a whole is sent again in the next response",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              w.start(w.job("job-1", 1, 1), 0, m);
+              List<Order> sent = w.ledger.direct(m, true, w.now);
+              w.ledger.answered(m, sent);
+              assertEquals(sent, w.report(m, 1, TERM));
+            }));
+  }
+
   @TestFactory
   Stream<DynamicTest> preemption() {
     return Stream.of(
