--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -171,6 +171,37 @@
     assertEquals(0, cloud.ranTwice);
   }
 
+  @Test
+  void aDeposedLeaderLosesNothingAndTheTermRises() throws Exception {
+    cloud.taskMs = 800;
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 6, 1)));
+    await("running tasks", () -> !cloud.running.isEmpty());
+    long term = state.term();
+    state.endLeases();
+    await("a higher term", () -> state.term() > term && state.leader() != null);
+    await("end of the job", () -> is("job-000001", "done"));
+    assertEquals(0, cloud.ranTwice);
+  }
+
+  @Test
+  void aWithdrawalAndTheEndExcludeEachOther() throws Exception {
+    cloud.taskMs = 200;
+    for (int i = 1; i <= 6; i++) {
+      String id = "job-00000" + i;
+      assertEquals(201, status("POST", "/v1/jobs", job(id, 1, 1)));
+      int taken = i;
+      // Some are withdrawn before they start, some about when they end, some afterwards.
+      await("a moment", () -> taken < 3 || cloud.running.containsKey(id + "/0") || is(id, "done"));
+      Thread.sleep(60L * i);
+      String told = send("POST", "/v1/jobs/" + id + "/withdraw", "").body();
+      String end = told.contains("done") ? "done" : "withdrawn";
+      assertTrue(is(id, end), told);
+      Thread.sleep(300);
+      assertTrue(is(id, end), told);
+      assertTrue(send("POST", "/v1/jobs/" + id + "/withdraw", "").body().contains(end));
+    }
+  }
+
   @Test
   void aWithdrawnJobIsGoneEverywhereAndStaysWithdrawn() throws Exception {
     cloud.taskMs = 60_000;
--- a/src/test/java/org/mallowroad/controller/StateStandIn.java
+++ b/src/test/java/org/mallowroad/controller/StateStandIn.java
@@ -54,6 +54,17 @@
     return data.containsKey(key);
   }
 
+  /** Ends all leases, as if they had not been renewed: whoever leads is deposed unawares. */
+  synchronized void endLeases() {
+    leases.clear();
+    expire();
+  }
+
+  synchronized long term() {
+    Value v = data.get("term");
+    return v == null ? 0 : v.v.path("n").asLong();
+  }
+
   synchronized String leader() {
     expire();
     Value v = data.get("leader");
