--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -24,6 +24,7 @@
 
   private final Loop loop;
   private final StateStore state;
+  private final Budget reads;
   private final Budget writes;
   private final Jobs jobs;
   private final double valueKb;
@@ -48,7 +49,9 @@
   }
 
   /** Over the state service. */
-  public UserApi(Loop loop, StateStore state, Budget writes, Jobs jobs, double valueKb) {
+  public UserApi(
+      Loop loop, StateStore state, Budget reads, Budget writes, Jobs jobs, double valueKb) {
+    this.reads = reads;
     this.loop = loop;
     this.state = state;
     this.writes = writes;
@@ -235,6 +238,11 @@
       read.over(finals.getBoolean(id));
       return;
     }
+    // Users' reads leave room for the leader's renewals and commits, however many users ask.
+    if (!reads.take(2, loop.now())) {
+      read.failed();
+      return;
+    }
     state.get(
         Records.open(id),
         (result, open) -> {
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -91,6 +91,7 @@
         new UserApi(
             loop,
             state,
+            new Budget(s.stateRps() * 0.8 / s.nodes(), s.stateRps() * 0.8 / s.nodes(), now),
             new Budget(s.stateWriteRps() * 0.3 / s.nodes(), s.stateWriteRps() * 0.3, now),
             new NodeJobs(),
             s.valueKb());
