--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -406,6 +406,49 @@
             }));
   }
 
+  @TestFactory
+  Stream<DynamicTest> notices() {
+    return Stream.of(
+        rule(
+            "a machine about to be taken gets no work, and its tasks save or move",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job saving =
+                  w.ledger.accept(Specs.array("job-1", 1, 1).saves(30, 4).build(), 5, 0, w.now);
+              Job other = w.job("job-2", 1, 1);
+              Attempt a = w.start(saving, 0, m);
+              Attempt b = w.start(other, 0, m);
+              WorkerReport.Entry ra = World.entry(a, State.RUNNING, null);
+              WorkerReport.Entry rb = World.entry(b, State.RUNNING, null);
+              w.report(m, 1, TERM, ra, rb);
+              w.ledger.report(
+                  m,
+                  new WorkerReport(
+                      "n-1", "h:1", "t4", "a", false, 1, ++w.seq, TERM, 15, List.of(ra, rb)),
+                  true,
+                  w.now);
+              assertEquals(
+                  Ledger.Refusal.MACHINE, w.ledger.mayStart(w.job("job-3", 1, 1), 0, m, w.now));
+              w.placement.drain(w.now);
+              assertEquals(
+                  List.of(
+                      new Order(Order.Kind.STOP, "job-1", 0, 1, 4),
+                      new Order(Order.Kind.STOP, "job-2", 0, 1, 0)),
+                  w.report(m, 1, TERM, ra, rb));
+            }),
+        rule(
+            "a task that is expected to end before the notice is over goes on",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Attempt a = w.start(w.job("job-1", 1, 1), 0, m);
+              WorkerReport.Entry e = World.entry(a, State.RUNNING, null);
+              w.report(m, 1, TERM, e);
+              m.noticeMs = w.now + 90_000; // Estimated at 60 s.
+              w.placement.drain(w.now);
+              assertFalse(a.stopping());
+            }));
+  }
+
   @TestFactory
   Stream<DynamicTest> preemption() {
     return Stream.of(
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -12,6 +12,8 @@
   private int zone = -1;
   private int team;
   private int priority = 2;
+  private double checkpoint;
+  private double save;
 
   private Specs(String id, int tasks, double cpus) {
     this.id = id;
@@ -58,9 +60,35 @@
     return this;
   }
 
+  public Specs saves(double everyS, double inS) {
+    checkpoint = everyS;
+    save = inS;
+    return this;
+  }
+
   public JobSpec build() {
     return new JobSpec(
-        id, 0, team, false, gang, priority, tasks, cpus, 0, 1, 0, 1, null, zone, together, scatter,
-        spot, 60, 0, 0, 0, 1_000);
+        id,
+        0,
+        team,
+        false,
+        gang,
+        priority,
+        tasks,
+        cpus,
+        0,
+        1,
+        0,
+        1,
+        null,
+        zone,
+        together,
+        scatter,
+        spot,
+        60,
+        checkpoint,
+        save,
+        0,
+        1_000);
   }
 }
