--- a/src/test/java/org/mallowroad/controller/CloudStandIn.java
+++ b/src/test/java/org/mallowroad/controller/CloudStandIn.java
@@ -36,6 +36,10 @@
   final Map<String, String> running = new ConcurrentHashMap<>();
 
   volatile int ranTwice;
+
+  /** While true every answer is 200 with something that is not JSON. */
+  volatile boolean garbled;
+
   volatile int taskMs = 300;
 
   CloudStandIn(List<String> controllers) throws IOException {
@@ -60,6 +64,10 @@
   private synchronized void handle(HttpExchange x) throws IOException {
     byte[] body = x.getRequestBody().readAllBytes();
     ObjectNode o = Json.object();
+    if (garbled) {
+      StateStandIn.garble(x);
+      return;
+    }
     try {
       switch (x.getRequestURI().getPath()) {
         case "/machine_types" -> {
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -183,6 +183,19 @@
     assertEquals(0, cloud.ranTwice);
   }
 
+  @Test
+  void garbledAnswersAreSurvived() throws Exception {
+    state.garbled = true;
+    cloud.garbled = true;
+    assertEquals(503, status("POST", "/v1/jobs", job("job-000001", 2, 1)));
+    Thread.sleep(1_500);
+    state.garbled = false;
+    cloud.garbled = false;
+    await("acceptance", () -> status("POST", "/v1/jobs", job("job-000001", 2, 1)) / 100 == 2);
+    await("end of the job", () -> is("job-000001", "done"));
+    assertEquals(0, cloud.ranTwice);
+  }
+
   @Test
   void aWithdrawalAndTheEndExcludeEachOther() throws Exception {
     cloud.taskMs = 200;
--- a/src/test/java/org/mallowroad/controller/StateStandIn.java
+++ b/src/test/java/org/mallowroad/controller/StateStandIn.java
@@ -36,6 +36,9 @@
   /** Every so many transactions one is applied without a response; 0: none. */
   volatile int loseEvery;
 
+  /** While true every answer is 200 with something that is not JSON. */
+  volatile boolean garbled;
+
   /** While true everything gets 503. */
   volatile boolean down;
 
@@ -85,7 +88,9 @@
     byte[] body = x.getRequestBody().readAllBytes();
     String path = x.getRequestURI().getPath();
     try {
-      if (down) {
+      if (garbled) {
+        garble(x);
+      } else if (down) {
         send(x, 503, Json.object());
       } else if (path.equals("/multi")) {
         multi(x, Json.parseObject(body));
@@ -114,6 +119,13 @@
     return q;
   }
 
+  static void garble(HttpExchange x) throws IOException {
+    byte[] b = {'<', '?', '{'};
+    x.sendResponseHeaders(200, b.length);
+    x.getResponseBody().write(b);
+    x.close();
+  }
+
   static void send(HttpExchange x, int status, JsonNode o) throws IOException {
     byte[] b = Json.bytes(o);
     x.sendResponseHeaders(status, b.length);
