--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -292,7 +292,7 @@
           if (result == Result.OK) {
             for (StateStore.Item i : items) {
               done += Records.done(i.value()).cardinality();
-              running += i.value().path("live").size();
+              running += Records.live(i.value()).size();
             }
           }
           x.answer(200, open(id, done, running), false);
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -1,6 +1,9 @@
 package org.mallowroad.controller;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2LongMap;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -30,8 +33,18 @@
 final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
   private static final int MAX_BYTES = 48 * 1024;
+
+  /** An end is told within 3 s, so it may give way to starts for a while. */
+  private static final long END_MS = 800;
+
+  /** Exits wait for company; for longer when many records have some. */
   private static final long LAZY_MS = 400;
 
+  private static final long CROWDED_LAZY_MS = 2_500;
+
+  /** A transaction waits for this many tokens rather than go out small. */
+  private static final int LEAST_WRITES = 4;
+
   private final Loop loop;
   private final StateStore state;
   private final Budget writes;
@@ -41,6 +54,10 @@
   private final int maxOps;
   private final Events events;
   private final List<Runnable> waiters = new ArrayList<>();
+  private final Object2LongLinkedOpenHashMap<String> leftovers =
+      new Object2LongLinkedOpenHashMap<>();
+  private long commits;
+  private long written;
   private boolean busy;
   private boolean stopped;
   private Loop.Timer lazy;
@@ -84,6 +101,16 @@
     wake();
   }
 
+  /** Transactions of this term. */
+  long commits() {
+    return commits;
+  }
+
+  /** Puts and deletes of this term. */
+  long writes() {
+    return written;
+  }
+
   /** Runs the waiter after the next transaction, whatever its outcome. */
   void afterNext(Runnable waiter) {
     waiters.add(waiter);
@@ -100,12 +127,18 @@
     if (busy || stopped) {
       return;
     }
-    if (!ledger.ending().isEmpty() || anyRecording()) {
+    if (!ledger.urgent().isEmpty() || !ledger.ending().isEmpty()) {
       send();
-    } else if (!ledger.dirty().isEmpty() && lazy == null) {
+    } else if (!ledger.dirty().isEmpty() || !leftovers.isEmpty()) {
+      later(LAZY_MS);
+    }
+  }
+
+  private void later(long ms) {
+    if (lazy == null && !stopped) {
       lazy =
           loop.after(
-              LAZY_MS,
+              ms,
               () -> {
                 lazy = null;
                 send();
@@ -113,54 +146,92 @@
     }
   }
 
-  private boolean anyRecording() {
-    for (Chunk c : ledger.dirty()) {
-      for (int t = c.from(); t < c.to(); t++) {
-        Attempt a = c.job.live(t);
-        if (a != null && a.phase == Attempt.Phase.RECORDING) {
-          return true;
-        }
-      }
-    }
-    return false;
+  /** A record of a job that is over, which an earlier leader had no time to delete. */
+  void leftover(String key, long at) {
+    leftovers.put(key, at);
   }
 
   /** One chunk as a transaction carries it. */
   private record Written(Chunk chunk, long changes, boolean deleted, List<Attempt> recorded) {}
 
-  private void send() {
-    if (busy || stopped) {
-      return;
+  /** A transaction being filled. */
+  private final class Draft {
+    private final Txn txn = new Txn().given(Election.LEADER, mark);
+    private final List<Written> written = new ArrayList<>();
+    private final ObjectOpenHashSet<Chunk> chunks = new ObjectOpenHashSet<>();
+    private final List<Job> ends = new ArrayList<>();
+    private final List<String> deleted = new ArrayList<>();
+    private final int most;
+    private int bytes;
+
+    Draft(int most) {
+      this.most = most;
     }
-    Txn txn = new Txn().given(Election.LEADER, mark);
-    List<Written> written = new ArrayList<>();
-    List<Job> ends = new ArrayList<>();
-    int bytes = 0;
-    for (Job job : ledger.ending()) {
-      if (bytes > MAX_BYTES || txn.writes() + 2 + Math.min(job.chunkCount(), maxOps - 2) > maxOps) {
-        break;
+
+    boolean full(int more) {
+      return txn.writes() + more > most || bytes > MAX_BYTES;
+    }
+
+    /** Ends that are older than {@code ms}. */
+    void addEnds(long ms) {
+      for (Job job : ledger.ending()) {
+        if (full(2)) {
+          return;
+        }
+        if (ends.contains(job) || loop.now() - job.allDoneMs() < ms) {
+          continue;
+        }
+        String id = job.spec.id();
+        txn.given(Records.open(id), job.mark).given(Records.end(id), 0);
+        txn.put(Records.end(id), Records.endValue(true, job.spec.tasks(), null));
+        txn.delete(Records.open(id));
+        ends.add(job);
+        bytes += 400;
+        for (int i = 0; i < job.chunkCount() && !full(1); i++) {
+          Chunk c = job.chunk(i);
+          if (c.mark > 0 && chunks.add(c)) {
+            txn.given(Records.run(c), c.mark).delete(Records.run(c));
+            written.add(new Written(c, c.changes, true, List.of()));
+            bytes += 200;
+          }
+        }
       }
-      String id = job.spec.id();
-      txn.given(Records.open(id), job.mark).given(Records.end(id), 0);
-      txn.put(Records.end(id), Records.endValue(true, job.spec.tasks(), null));
-      txn.delete(Records.open(id));
-      ends.add(job);
-      bytes += 400;
-      for (int i = 0; i < job.chunkCount() && txn.writes() < maxOps; i++) {
-        Chunk c = job.chunk(i);
-        if (c.mark > 0) {
-          txn.given(Records.run(c), c.mark).delete(Records.run(c));
-          written.add(new Written(c, c.changes, true, List.of()));
-          bytes += 200;
+    }
+
+    /** Starts, which somebody waits for. */
+    void addUrgent() {
+      for (Chunk c : ledger.urgent()) {
+        if (full(1)) {
+          return;
         }
+        add(c);
       }
     }
-    for (Chunk c : ledger.dirty()) {
-      if (txn.writes() >= maxOps || bytes > MAX_BYTES) {
-        break;
+
+    /** What changed at least {@code ms} ago, as far as {@code spare} writes go. */
+    void addLazy(long ms, int spare) {
+      int most = txn.writes() + spare;
+      for (Chunk c : ledger.dirty()) {
+        if (full(1) || txn.writes() >= most) {
+          return;
+        }
+        if (loop.now() - c.dirtySinceMs >= ms || (c.job.finished() && c.mark == 0)) {
+          add(c);
+        }
+      }
+      for (Object2LongMap.Entry<String> e : leftovers.object2LongEntrySet()) {
+        if (full(1) || txn.writes() >= most) {
+          return;
+        }
+        txn.given(e.getKey(), e.getLongValue()).delete(e.getKey());
+        deleted.add(e.getKey());
+        bytes += 200;
       }
-      if (ends.contains(c.job) || ledger.ending().contains(c.job)) {
-        continue;
+    }
+
+    private void add(Chunk c) {
+      if (ledger.ending().contains(c.job) || !chunks.add(c)) {
+        return;
       }
       boolean over = c.job.withdrawn() || c.job.ended();
       if (over && !c.hasLive()) {
@@ -169,7 +240,7 @@
         }
         written.add(new Written(c, c.changes, true, List.of()));
         bytes += 100;
-        continue;
+        return;
       }
       List<Attempt> recorded = new ArrayList<>();
       for (int t = c.from(); t < c.to(); t++) {
@@ -187,10 +258,37 @@
       written.add(new Written(c, c.changes, false, recorded));
       bytes += Json.text(value).length() + 200;
     }
-    if (written.isEmpty() && ends.isEmpty()) {
+  }
+
+  private void send() {
+    if (busy || stopped) {
+      return;
+    }
+    long now = loop.now();
+    double ready = writes.ready(now);
+    int least = Math.min(LEAST_WRITES, maxOps);
+    // As large as the budget allows now: what waits for more tokens would hold up what need not.
+    Draft d = new Draft((int) Math.max(least, Math.min(maxOps, ready)));
+    d.addEnds(END_MS);
+    d.addUrgent();
+    d.addEnds(0);
+    boolean crowded = ledger.dirty().size() > maxOps;
+    boolean idle = ledger.urgent().isEmpty() && ledger.ending().isEmpty();
+    // Exits leave half of the bucket to the starts to come.
+    int spare = idle ? Math.max(least, (int) (ready - maxOps / 2.0)) : (int) (ready - maxOps / 2.0);
+    d.addLazy(crowded ? CROWDED_LAZY_MS : LAZY_MS, Math.max(0, spare - d.txn.writes()));
+    if (d.written.isEmpty() && d.ends.isEmpty() && d.deleted.isEmpty()) {
+      if (!ledger.dirty().isEmpty() || !leftovers.isEmpty()) {
+        later(LAZY_MS);
+      }
       return;
     }
-    long wait = writes.waitMs(txn.writes(), loop.now());
+    if (d.txn.writes() == 0) {
+      applied(d, 0);
+      kick();
+      return;
+    }
+    long wait = writes.waitMs(d.txn.writes(), now);
     if (wait > 0) {
       busy = true;
       loop.after(
@@ -201,15 +299,12 @@
           });
       return;
     }
-    writes.force(txn.writes(), loop.now());
+    writes.force(d.txn.writes(), now);
+    commits++;
+    written += d.txn.writes();
     busy = true;
-    if (txn.writes() == 0) {
-      busy = false;
-      applied(written, ends, 0);
-      return;
-    }
     state.run(
-        txn,
+        d.txn,
         (result, revision, failed) -> {
           if (stopped) {
             return;
@@ -217,12 +312,12 @@
           switch (result) {
             case OK -> {
               busy = false;
-              applied(written, ends, revision);
+              applied(d, revision);
               wake();
               events.committed();
               kick();
             }
-            case NO -> settle(written, ends, failed);
+            case NO -> settle(d, failed);
             default -> {
               LOG.warn("event=commit_failed result={}", result);
               loop.after(
@@ -236,16 +331,18 @@
         });
   }
 
-  private void applied(List<Written> written, List<Job> ends, long revision) {
-    for (Written w : written) {
-      ledger.committed(w.chunk, w.deleted ? 0 : revision, w.changes, w.recorded);
+  private void applied(Draft d, long revision) {
+    long now = loop.now();
+    for (Written w : d.written) {
+      ledger.committed(w.chunk, w.deleted ? 0 : revision, w.changes, w.recorded, now);
     }
-    for (Job j : ends) {
+    d.deleted.forEach(leftovers::removeLong);
+    for (Job j : d.ends) {
       ledger.ended(j);
       events.ended(j, true);
       tidy(j);
     }
-    for (Written w : written) {
+    for (Written w : d.written) {
       tidy(w.chunk.job);
     }
   }
@@ -259,7 +356,7 @@
     for (int i = 0; i < j.chunkCount(); i++) {
       if (j.chunk(i).mark > 0) {
         left = true;
-        ledger.redo(j.chunk(i));
+        ledger.redo(j.chunk(i), loop.now());
       }
     }
     if (!left) {
@@ -268,20 +365,23 @@
   }
 
   /** A condition failed: the marks are read anew, and the next transaction is built from them. */
-  private void settle(List<Written> written, List<Job> ends, List<String> failed) {
+  private void settle(Draft d, List<String> failed) {
+    List<Written> written = d.written;
     if (failed.contains(Election.LEADER)) {
       busy = false;
       events.deposed();
       return;
     }
     LOG.info("event=commit_conflict keys={}", failed);
+    // Somebody else deleted or changed it: it is left to the next takeover.
+    d.deleted.forEach(leftovers::removeLong);
     List<Consumer<Runnable>> steps = new ArrayList<>();
     for (Written w : written) {
       if (failed.isEmpty() || failed.contains(Records.run(w.chunk))) {
         steps.add(next -> adopt(w.chunk, next));
       }
     }
-    List<Job> jobs = new ArrayList<>(ends);
+    List<Job> jobs = new ArrayList<>(d.ends);
     for (Written w : written) {
       if (!jobs.contains(w.chunk.job)) {
         jobs.add(w.chunk.job);
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -14,6 +14,7 @@
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.MachineType;
 import org.mallowroad.election.Election;
+import org.mallowroad.net.Budget;
 import org.mallowroad.net.Loop;
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore;
@@ -31,6 +32,7 @@
   private static final long TYPES_MS = 30_000;
   private static final long SILENT_MS = 12_000;
   private static final long MET_MS = 25_000;
+  private static final long AGAIN_MS = 300;
 
   private final Loop loop;
   private final StateStore state;
@@ -38,6 +40,9 @@
   private final Site site;
   private final Ledger ledger;
   private final Fleet fleet;
+  private final Budget writes;
+  private final int maxOps;
+  private final long silentMs;
   private final long term;
   private final long mark;
   private final Office office;
@@ -49,6 +54,8 @@
   private int counter;
   private boolean listing;
   private boolean deleting;
+  private boolean recording;
+  private boolean settling;
   private boolean stopped;
 
   /** What the manager asks of the leader. */
@@ -93,6 +100,8 @@
       CloudApi cloud,
       Site site,
       Ledger ledger,
+      Budget writes,
+      int maxOps,
       long term,
       long mark,
       Office office) {
@@ -101,6 +110,9 @@
     this.cloud = cloud;
     this.site = site;
     this.ledger = ledger;
+    this.writes = writes;
+    this.maxOps = maxOps;
+    this.silentMs = (long) Math.max(SILENT_MS, site.settings.reportS() * 3000);
     this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
@@ -204,17 +216,18 @@
       return;
     }
     long now = loop.now();
-    for (Hire h : hires.values().toArray(new Hire[0])) {
+    for (Hire h : hires.values()) {
       if (!h.answered && !h.calling) {
         call(h);
-      } else if (h.answered) {
-        settle(h);
       }
     }
+    settle();
     List<Coming> coming = coming(now);
     List<Job> queue = office.queue();
-    for (Fleet.Rent r : fleet.rents(queue, coming, site.machineTypes(), now)) {
-      rent(r, now);
+    // What one transaction cannot record is asked for again in the next cycle.
+    List<Fleet.Rent> rents = fleet.rents(queue, coming, site.machineTypes(), now);
+    if (!rents.isEmpty() && !recording) {
+      rent(rents.subList(0, Math.min(rents.size(), maxOps)), now);
     }
     for (Machine m : fleet.returns(!queue.isEmpty(), now)) {
       LOG.info("event=return machine={} idle_ms={}", m.name, now - m.emptySinceMs);
@@ -240,34 +253,39 @@
     return out;
   }
 
-  private void rent(Fleet.Rent r, long now) {
-    String name = "r-" + term + "-" + counter++;
-    Hire h = new Hire(name, r.variant(), r.count(), now);
-    h.calling = true;
-    hires.put(name, h);
-    ObjectNode v = Json.object();
-    v.put("type", r.variant().type().name());
-    v.put("zone", site.zones.name(r.variant().zone()));
-    v.put("spot", r.variant().spot());
-    v.put("count", r.count());
-    Txn txn =
-        new Txn()
-            .given(Election.LEADER, mark)
-            .given(Records.HIRE + name, 0)
-            .put(Records.HIRE + name, v);
+  /** Records requests, all in one transaction, before their calls. */
+  private void rent(List<Fleet.Rent> rents, long now) {
+    List<Hire> batch = new ArrayList<>();
+    Txn txn = new Txn().given(Election.LEADER, mark);
+    for (Fleet.Rent r : rents) {
+      String name = "r-" + term + "-" + counter++;
+      Hire h = new Hire(name, r.variant(), r.count(), now);
+      h.calling = true;
+      hires.put(name, h);
+      batch.add(h);
+      ObjectNode v = Json.object();
+      v.put("type", r.variant().type().name());
+      v.put("zone", site.zones.name(r.variant().zone()));
+      v.put("spot", r.variant().spot());
+      v.put("count", r.count());
+      txn.given(Records.HIRE + name, 0).put(Records.HIRE + name, v);
+    }
+    writes.force(txn.writes(), now);
+    recording = true;
     state.run(
         txn,
         (result, revision, failed) -> {
+          recording = false;
           if (stopped) {
             return;
           }
           if (result == Result.OK) {
-            call(h);
+            batch.forEach(this::call);
           } else if (result == Result.NO && failed.contains(Election.LEADER)) {
             office.deposed();
           } else {
-            // Not known to be recorded: never called. Its name stays unused.
-            hires.remove(name);
+            // Not known to be recorded: never called. The names stay unused.
+            batch.forEach(h -> hires.remove(h.name));
           }
         });
   }
@@ -294,7 +312,15 @@
           h.calling = false;
           long now = loop.now();
           if (names == null) {
-            return; // Unknown: the next cycle repeats the same request.
+            // Unknown, or beyond the budget: the same request is repeated.
+            loop.after(
+                AGAIN_MS,
+                () -> {
+                  if (!stopped && !h.calling && office.firm()) {
+                    call(h);
+                  }
+                });
+            return;
           }
           h.answered = true;
           h.machines = names;
@@ -308,28 +334,36 @@
               expected.putIfAbsent(n, new Expected(n, h.variant, h.sinceMs, now));
             }
           }
-          settle(h);
         });
   }
 
-  /** Deletes the record of a request once each of its machines reported or is gone. */
-  private void settle(Hire h) {
-    for (String n : h.machines) {
-      if (expected.containsKey(n)) {
-        return;
+  /** Deletes the records of requests of which each machine reported or is gone. */
+  private void settle() {
+    if (settling) {
+      return;
+    }
+    List<Hire> over = new ArrayList<>();
+    for (Hire h : hires.values()) {
+      if (h.answered
+          && over.size() < maxOps / 2
+          && h.machines.stream().noneMatch(expected::containsKey)) {
+        over.add(h);
       }
     }
-    if (h.calling) {
+    // Nobody waits for this: it leaves the budget to the starts.
+    if (over.isEmpty() || writes.ready(loop.now()) < over.size() + 2) {
       return;
     }
-    h.calling = true;
-    Txn txn = new Txn().given(Election.LEADER, mark).delete(Records.HIRE + h.name);
+    Txn txn = new Txn().given(Election.LEADER, mark);
+    over.forEach(h -> txn.delete(Records.HIRE + h.name));
+    writes.force(txn.writes(), loop.now());
+    settling = true;
     state.run(
         txn,
         (result, revision, failed) -> {
-          h.calling = false;
+          settling = false;
           if (result == Result.OK) {
-            hires.remove(h.name);
+            over.forEach(h -> hires.remove(h.name));
           }
         });
   }
@@ -341,7 +375,7 @@
     for (Machine m : ledger.machines()) {
       if (m.reportedMs >= 0) {
         usable++;
-        if (now - m.reportedMs < SILENT_MS / 2) {
+        if (now - m.reportedMs < silentMs / 2) {
           fresh++;
         }
       }
@@ -356,7 +390,7 @@
       }
       if (m.reportedMs >= 0) {
         // When most are silent the fault is rather on this side.
-        if (now - m.reportedMs > SILENT_MS && 2 * fresh > usable) {
+        if (now - m.reportedMs > silentMs && 2 * fresh > usable) {
           LOG.info("event=machine_silent machine={} ms={}", m.name, now - m.reportedMs);
           m.returning = true;
         }
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -5,6 +5,7 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
 import org.mallowroad.cloud.CloudApi;
@@ -36,7 +37,16 @@
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
   private static final long FIRM_MS = 2_800;
   private static final long HOLD_MS = 300;
+
+  /**
+   * Passes of placement are at least this far apart, and twice as far as the last one took: their
+   * number must not grow with the number of reports.
+   */
+  private static final long PASS_MS = 40;
+
   private static final long WATCH_MS = 10_000;
+  private static final long TICK_MS = 250;
+  private static final long LOAD_MS = 10_000;
 
   private final Loop loop;
   private final StateStore state;
@@ -59,6 +69,10 @@
   private boolean acting;
   private boolean stopped;
   private boolean placing;
+  private long passEndedNs;
+  private long passNs;
+  private final List<Runnable> afterPass = new ArrayList<>();
+  private final Load load = new Load();
 
   Leader(
       Loop loop,
@@ -92,7 +106,7 @@
     double writeRps = site.settings.stateWriteRps();
     // A transaction larger than the bucket would wait for ever, so the one bounds the other.
     int maxOps = (int) Math.max(4, Math.min(site.settings.txnOps(), writeRps * 0.8));
-    Budget writes = new Budget(writeRps * 0.7, Math.max(maxOps, writeRps * 0.7), loop.now());
+    Budget writes = new Budget(writeRps * 0.75, Math.max(maxOps, writeRps * 0.7), loop.now());
     this.committer =
         new Committer(
             loop,
@@ -127,6 +141,8 @@
             cloud,
             site,
             ledger,
+            writes,
+            maxOps,
             term,
             mark,
             new FleetManager.Office() {
@@ -224,10 +240,22 @@
         over.add(id);
       }
     }
-    readEnds(new ArrayList<>(over), 0, next);
+    ObjectOpenHashSet<String> done = new ObjectOpenHashSet<>();
+    readEnds(
+        new ArrayList<>(over),
+        0,
+        done,
+        () -> {
+          for (Item i : run) {
+            if (done.contains(jobOf(i.key()))) {
+              committer.leftover(i.key(), i.mark());
+            }
+          }
+          next.run();
+        });
   }
 
-  private void readEnds(List<String> ids, int i, Runnable next) {
+  private void readEnds(List<String> ids, int i, ObjectOpenHashSet<String> over, Runnable next) {
     if (stopped) {
       return;
     }
@@ -239,12 +267,14 @@
         Records.end(ids.get(i)),
         (result, item) -> {
           if (result != Result.OK) {
-            loop.after(200, () -> readEnds(ids, i, next));
+            loop.after(200, () -> readEnds(ids, i, over, next));
             return;
           }
           try {
             JsonNode v = item.value();
-            if (v != null && v.has("open")) {
+            if (v != null && !v.has("open")) {
+              over.add(ids.get(i));
+            } else if (v != null) {
               JobSpec spec = Records.spec(v.get("open"), site.codec);
               if (spec.team() >= 0) {
                 ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
@@ -253,7 +283,7 @@
           } catch (BadMessage e) {
             LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
           }
-          readEnds(ids, i + 1, next);
+          readEnds(ids, i + 1, over, next);
         });
   }
 
@@ -271,7 +301,7 @@
       restoreRun(job, i);
     }
     for (Job j : ledger.jobs()) {
-      ledger.restored(j);
+      ledger.restored(j, loop.now());
     }
     loaded = true;
     fleet.start();
@@ -286,7 +316,9 @@
     early.values().forEach(r -> take(r));
     early.clear();
     follow(revision);
-    duties.add(loop.every(250, this::tick));
+    load.tickedMs = loop.now();
+    duties.add(loop.every(TICK_MS, this::tick));
+    duties.add(loop.every(LOAD_MS, load::log));
   }
 
   private void restoreRun(Job job, Item i) {
@@ -297,21 +329,18 @@
     }
     Chunk c = job.chunk(index);
     ledger.restore(c, i.mark(), Records.done(v), v.path("high").asInt());
-    for (JsonNode a : v.path("live")) {
-      String name = a.path(2).asText();
-      JsonNode about = v.path("machines").path(name);
-      MachineType type = site.type(about.path(0).asText());
-      int zone = site.zones.find(about.path(1).asText());
+    for (Records.Live a : Records.live(v)) {
+      MachineType type = site.type(a.type());
+      int zone = site.zones.find(a.zone());
       if (type == null || zone < 0) {
-        LOG.error("event=record_unreadable key={} machine={}", i.key(), name);
+        LOG.error("event=record_unreadable key={} machine={}", i.key(), a.machine());
         continue;
       }
-      Machine m = ledger.meet(name, type, zone, about.path(2).asBoolean(), loop.now());
-      ledger.restoreAttempt(
-          job, a.path(0).asInt(), a.path(1).asInt(), m, a.path(3).asLong(), loop.now());
+      Machine m = ledger.meet(a.machine(), type, zone, a.spot(), loop.now());
+      ledger.restoreAttempt(job, a.task(), a.number(), m, a.session(), loop.now());
     }
     if (job.withdrawn()) {
-      ledger.redo(c);
+      ledger.redo(c, loop.now());
     }
   }
 
@@ -400,12 +429,17 @@
 
   private void tick() {
     long now = loop.now();
+    load.lagMs = Math.max(load.lagMs, now - load.tickedMs - TICK_MS);
+    load.tickedMs = now;
     if (!acting && now - startedMs > (long) (site.settings.reportS() * 1250) + 500) {
       acting = true;
       LOG.info("event=acting term={} machines={}", term, ledger.machines().size());
       fleet.act();
     }
     ledger.expireSilent(now);
+    if (firm()) {
+      placement.drain(now);
+    }
     advance();
   }
 
@@ -415,19 +449,34 @@
       return;
     }
     placing = true;
-    loop.soon(
-        () -> {
-          placing = false;
-          if (!stopped) {
-            placeNow();
-          }
-        });
+    long sinceMs = (System.nanoTime() - passEndedNs) / 1_000_000;
+    long wait = Math.max(PASS_MS, 2 * passNs / 1_000_000) - sinceMs;
+    if (wait <= 0) {
+      loop.soon(this::pass);
+    } else {
+      loop.after(wait, this::pass);
+    }
+  }
+
+  private void pass() {
+    placing = false;
+    if (stopped) {
+      return;
+    }
+    long began = System.nanoTime();
+    placeNow();
+    passEndedNs = System.nanoTime();
+    passNs = passEndedNs - began;
+    load.passes++;
+    load.passNs += passNs;
+    List<Runnable> waiters = new ArrayList<>(afterPass);
+    afterPass.clear();
+    waiters.forEach(Runnable::run);
   }
 
   private void placeNow() {
     // Machines that reported in this term may get work; the fleet waits for the whole round.
     if (firm()) {
-      placement.drain(loop.now());
       placement.place(loop.now());
     }
     committer.kick();
@@ -440,14 +489,21 @@
       return;
     }
     long now = loop.now();
-    for (Machine m : ledger.machines()) {
-      if (m.empty() || m.address.isEmpty() || holding.contains(m.name) || workers.busy(m.address)) {
+    for (Iterator<Machine> it = ledger.outbox().iterator(); it.hasNext(); ) {
+      Machine m = it.next();
+      if (holding.contains(m.name) || workers.busy(m.address)) {
+        continue;
+      }
+      // What cannot be sent now travels in the answer to the next report.
+      it.remove();
+      if (m.empty() || m.address.isEmpty()) {
         continue;
       }
       List<Order> orders = ledger.direct(m, true, now);
       if (orders.isEmpty()) {
         continue;
       }
+      load.direct++;
       workers.send(
           m.address,
           WorkerCodec.direct(term, m.session, orders),
@@ -496,6 +552,7 @@
       reply.accept(WorkerCodec.orders(term, List.of()));
       return;
     }
+    load.reports++;
     fleet.reported(m.name);
     List<Order> orders = ledger.report(m, r, firm(), loop.now());
     m.answeredMs = loop.now();
@@ -503,21 +560,63 @@
       reply.accept(WorkerCodec.orders(term, List.of()));
       return;
     }
-    placeNow();
-    List<Attempt> recording = new ArrayList<>();
-    for (Attempt a : m.attempts()) {
-      if (a.phase == Attempt.Phase.RECORDING) {
-        recording.add(a);
-      }
-    }
-    if (recording.isEmpty()) {
+    advance();
+    if (!firm() || !ledger.mayGetWork(m, loop.now()) || !placement.anyWaiting()) {
       reply.accept(WorkerCodec.orders(term, orders));
       return;
     }
+    // Work may come its way in a moment: then this answer carries the launches.
     holding.add(m.name);
-    Held held = new Held(r, m, orders, recording, reply);
-    committer.afterNext(held::release);
+    Held held = new Held(r, m, orders, reply);
     held.timer = loop.after(HOLD_MS, held::release);
+    afterPass.add(held::placed);
+  }
+
+  /** How late the loop ran at worst in the last ten seconds: the first sign of too much work. */
+  long lagMs() {
+    return Math.max(load.lastLagMs, load.lagMs);
+  }
+
+  /** What the office does, for the log: how near the machine is to its limit. */
+  private final class Load {
+    private long tickedMs;
+    private long lagMs;
+    private long lastLagMs;
+    private long reports;
+    private long direct;
+    private long passes;
+    private long passNs;
+
+    void log() {
+      int waiting = 0;
+      int live = 0;
+      for (Job j : ledger.jobs()) {
+        waiting += j.waitingCount();
+        live += j.liveCount();
+      }
+      LOG.info(
+          "event=load lag_ms={} reports={} direct={} passes={} pass_ms={} commits={} writes={}"
+              + " dirty={} urgent={} jobs={} waiting={} live={} machines={}",
+          lagMs,
+          reports,
+          direct,
+          passes,
+          passNs / 1_000_000,
+          committer.commits(),
+          committer.writes(),
+          ledger.dirty().size(),
+          ledger.urgent().size(),
+          ledger.jobs().size(),
+          waiting,
+          live,
+          ledger.machines().size());
+      lastLagMs = lagMs;
+      lagMs = 0;
+      reports = 0;
+      direct = 0;
+      passes = 0;
+      passNs = 0;
+    }
   }
 
   /** A report whose answer waits a moment for the commit of the starts it is to carry. */
@@ -525,24 +624,43 @@
     private final WorkerReport report;
     private final Machine machine;
     private final List<Order> orders;
-    private final List<Attempt> recording;
+    private final List<Attempt> recording = new ArrayList<>();
     private final Consumer<ObjectNode> reply;
     private Loop.Timer timer;
     private boolean over;
 
-    Held(
-        WorkerReport report,
-        Machine machine,
-        List<Order> orders,
-        List<Attempt> recording,
-        Consumer<ObjectNode> reply) {
+    Held(WorkerReport report, Machine machine, List<Order> orders, Consumer<ObjectNode> reply) {
       this.report = report;
       this.machine = machine;
       this.orders = orders;
-      this.recording = recording;
       this.reply = reply;
     }
 
+    /** Placement has had its turn: without new work the answer goes out at once. */
+    void placed() {
+      for (Attempt a : machine.attempts()) {
+        if (a.phase == Attempt.Phase.RECORDING) {
+          recording.add(a);
+        }
+      }
+      if (recording.isEmpty()) {
+        release();
+      } else {
+        committer.afterNext(this::committed);
+      }
+    }
+
+    /** A transaction before the one with these starts does not count. */
+    private void committed() {
+      for (Attempt a : recording) {
+        if (a.phase == Attempt.Phase.RECORDING && !over) {
+          committer.afterNext(this::committed);
+          return;
+        }
+      }
+      release();
+    }
+
     void release() {
       if (over) {
         return;
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -83,10 +83,10 @@
         new CloudApi(
             loop,
             new HttpCaller(loop, buffers, s.cloud(), json, 8),
-            new Budget(s.cloudRps() * 0.7, s.cloudRps(), now),
+            new Budget(s.cloudRps() * 0.8, s.cloudRps(), now),
             site.types,
             site.zones);
-    this.workers = new WorkerClient(loop, buffers);
+    this.workers = new WorkerClient(loop, buffers, Math.max(16, s.maxSockets() / 8));
     this.users =
         new UserApi(
             loop,
@@ -109,8 +109,9 @@
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-            .setSocketOption(Options.CONNECTION_HIGH_WATER, s.maxSockets() * 3 / 4)
-            .setSocketOption(Options.CONNECTION_LOW_WATER, s.maxSockets() * 3 / 4 - 10)
+            // Workers and users; an eighth is for direct orders, the rest for the outside parties.
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, s.maxSockets() * 13 / 16)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, s.maxSockets() * 13 / 16 - 10)
             .build();
   }
 
@@ -210,6 +211,7 @@
           n -> n.leader == null ? 0 : n.leader.ledger().dirty().size());
       gauge(
           "mallowroad.tasks.completed", n -> n.leader == null ? 0 : n.leader.ledger().completed());
+      gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
       gauge("mallowroad.garbled.state", n -> n.state.wrong());
       gauge("mallowroad.garbled.cloud", n -> n.cloud.wrong());
--- a/src/main/java/org/mallowroad/core/Chunk.java
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -3,7 +3,7 @@
 /** The part of a job's tasks that one record in the state service holds. */
 public final class Chunk {
   /** Tasks a record: small enough that a full record stays below the value limit. */
-  public static final int TASKS = 64;
+  public static final int TASKS = 128;
 
   /** The job it belongs to and its place in it. */
   public final Job job;
@@ -20,6 +20,12 @@
   /** Counts changes, so that a commit clears {@link #dirty} only if nothing came after it. */
   public long changes;
 
+  /** How many of its attempts wait for a commit before they may be launched. */
+  int recording;
+
+  /** Since when it is dirty. */
+  public long dirtySinceMs;
+
   Chunk(Job job, int index) {
     this.job = job;
     this.index = index;
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -1,10 +1,12 @@
 package org.mallowroad.core;
 
-import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import it.unimi.dsi.fastutil.longs.Long2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 
 /**
  * Sizes the fleet: rents the cheapest fitting variant on averaged spare, before machines saturate,
@@ -29,6 +31,9 @@
   /** Machines rented and not yet reporting: they will take waiting tasks. */
   public record Coming(Variant variant, int count, long sinceMs) {}
 
+  /** The cloud rents no more machines at once. */
+  private static final int MOST_A_CALL = 50;
+
   private static final long REFUSED_MS = 15_000;
   private static final long SOON_MS = 3_000;
 
@@ -43,6 +48,7 @@
   private final Ledger ledger;
   private final FleetPolicy policy;
   private final Objectives objectives;
+  private long looked;
   private final Long2LongOpenHashMap refusedUntil = new Long2LongOpenHashMap();
 
   /** A fleet over a ledger. */
@@ -52,6 +58,11 @@
     this.policy = policy;
   }
 
+  /** Machines looked at so far: what the forecasts cost. */
+  long looked() {
+    return looked;
+  }
+
   /** The cloud had none, or fewer than asked: other variants are tried for a while. */
   public void refused(Variant v, long now) {
     refusedUntil.put(v.key(), now + REFUSED_MS);
@@ -67,6 +78,55 @@
    * machines.
    */
   public List<Rent> rents(List<Job> queue, List<Coming> coming, List<MachineType> types, long now) {
+    Object2IntLinkedOpenHashMap<Variant> added = new Object2IntLinkedOpenHashMap<>();
+    int waiting = forecast(queue, coming, types, added, now);
+    if (added.isEmpty() && spareIsLow(waiting, coming)) {
+      Variant v = cheapestOf(queue, types, now);
+      if (v != null) {
+        added.addTo(v, 1);
+      }
+    }
+    List<Rent> rents = new ArrayList<>();
+    for (Object2IntMap.Entry<Variant> e : added.object2IntEntrySet()) {
+      for (int left = e.getIntValue(); left > 0; left -= MOST_A_CALL) {
+        rents.add(new Rent(e.getKey(), Math.min(MOST_A_CALL, left)));
+      }
+    }
+    return rents;
+  }
+
+  /**
+   * Puts each waiting task where it would start first. The machines are looked at once for a job;
+   * its tasks then take them in the order of their starts.
+   *
+   * @return how many tasks wait within their teams' limits
+   */
+  private int forecast(
+      List<Job> queue,
+      List<Coming> coming,
+      List<MachineType> types,
+      Object2IntLinkedOpenHashMap<Variant> added,
+      long now) {
+    int[] counts = new int[queue.size()];
+    double[] teamCpus = new double[ledger.teams().size()];
+    int waiting = 0;
+    for (int i = 0; i < counts.length; i++) {
+      JobSpec s = queue.get(i).spec;
+      Team team = ledger.team(s);
+      // Tasks beyond their team's limit need no machine.
+      double left = team.cpusMax - team.usedCpus - teamCpus[s.team()];
+      counts[i] =
+          s.cpus() <= 0
+              ? queue.get(i).pending.size()
+              : (int)
+                  Math.max(0, Math.min(queue.get(i).pending.size(), (left + Room.EPS) / s.cpus()));
+      teamCpus[s.team()] += counts[i] * s.cpus();
+      waiting += counts[i];
+    }
+    int[] rented = new int[types.stream().mapToInt(t -> t.index() + 1).max().orElse(0)];
+    if (waiting == 0 || !rentable(types, rented, now)) {
+      return waiting;
+    }
     List<Slot> slots = new ArrayList<>();
     for (Machine m : ledger.machines()) {
       if (m.usable()) {
@@ -78,79 +138,97 @@
         slots.add(new Slot(c.variant, Math.max(now + SOON_MS, c.sinceMs + boot(c.variant))));
       }
     }
-    int waiting = 0;
-    double[] teamCpus = new double[ledger.teams().size()];
-    Int2IntOpenHashMap rented = new Int2IntOpenHashMap();
-    List<Variant> added = new ArrayList<>();
-    for (Job job : queue) {
-      JobSpec s = job.spec;
-      Team team = ledger.team(s);
-      for (int left = job.pending.size(); left > 0; left--) {
-        // Tasks beyond their team's limit need no machine.
-        if (team.usedCpus + teamCpus[s.team()] + s.cpus() > team.cpusMax + Room.EPS) {
-          break;
-        }
-        teamCpus[s.team()] += s.cpus();
-        waiting++;
-        Slot best = null;
-        long start = Long.MAX_VALUE;
-        for (Slot slot : slots) {
-          long t = slot.start(job, start);
-          if (t < start) {
-            start = t;
-            best = slot;
-          }
-        }
-        if (start > now) {
-          Variant v = cheapest(job, left, types, added, now);
-          if (v != null && rented.get(v.type.index()) < policy.step()) {
-            double fetchS = s.imageGb() / v.type.fetchGbPerS();
-            long limit =
-                (long)
-                    Math.min(
-                        Long.MAX_VALUE / 4.0,
-                        job.submittedMs
-                            + 1000 * PATIENCE * objectives.startWithinS(s, fetchS, job.guaranteed));
-            // Waiting saves nothing where machines are cheap.
-            boolean soon = start > limit || cheap(v, types);
-            if (soon && start > now + boot(v) + WORTH_MS) {
-              rented.addTo(v.type.index(), 1);
-              added.add(v);
-              best = new Slot(v, now + boot(v));
-              slots.add(best);
-              start = now + boot(v);
-            }
-          }
-        }
-        if (best == null) {
-          break;
-        }
-        best.take(job, start);
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] == 0) {
+        continue;
+      }
+      if (!rentable(types, rented, now)) {
+        break; // Nothing can be rented for the others, however late they start.
       }
+      place(queue.get(i), counts[i], slots, types, added, rented, now);
     }
-    if (added.isEmpty() && spareIsLow(waiting, coming)) {
-      Variant v = cheapestOf(queue, types, now);
-      if (v != null) {
-        added.add(v);
+    return waiting;
+  }
+
+  /** Forecasts the starts of a job's tasks, and rents for those that would come too late. */
+  private void place(
+      Job job,
+      int count,
+      List<Slot> slots,
+      List<MachineType> types,
+      Object2IntLinkedOpenHashMap<Variant> added,
+      int[] rented,
+      long now) {
+    PriorityQueue<Start> starts =
+        new PriorityQueue<>(
+            Comparator.comparingLong((Start x) -> x.at).thenComparingInt(x -> x.slot));
+    looked += slots.size();
+    for (int i = 0; i < slots.size(); i++) {
+      long at = slots.get(i).start(job.spec);
+      if (at < Long.MAX_VALUE) {
+        starts.add(new Start(at, i));
       }
     }
-    List<Rent> rents = new ArrayList<>();
-    for (Variant v : added) {
-      int at = -1;
-      for (int i = 0; i < rents.size(); i++) {
-        if (rents.get(i).variant.equals(v)) {
-          at = i;
+    for (int left = count; left > 0; left--) {
+      Start best = starts.peek();
+      if (best == null || best.at > now) {
+        Variant v = cheapest(job, left, types, added, now);
+        if (v != null
+            && rented[v.type.index()] < policy.step()
+            && worth(job, v, best == null ? Long.MAX_VALUE : best.at, types, now)) {
+          rented[v.type.index()]++;
+          added.addTo(v, 1);
+          best = new Start(now + boot(v), slots.size());
+          slots.add(new Slot(v, best.at));
+          starts.add(best);
         }
       }
-      if (at < 0) {
-        rents.add(new Rent(v, 1));
-      } else {
-        rents.set(at, new Rent(v, Math.min(50, rents.get(at).count + 1)));
+      best = starts.poll();
+      if (best == null) {
+        return;
+      }
+      Slot slot = slots.get(best.slot);
+      slot.take(job.spec, best.at);
+      long next = slot.start(job.spec);
+      if (next < Long.MAX_VALUE) {
+        starts.add(new Start(next, best.slot));
       }
     }
-    return rents;
   }
 
+  /** True when a machine of the variant rented now would bring a late start forward enough. */
+  private boolean worth(Job job, Variant v, long start, List<MachineType> types, long now) {
+    if (start <= now + boot(v) + WORTH_MS) {
+      return false;
+    }
+    if (cheap(v, types)) {
+      return true; // Waiting saves nothing where machines are cheap.
+    }
+    double fetchS = job.spec.imageGb() / v.type.fetchGbPerS();
+    double within = objectives.startWithinS(job.spec, fetchS, job.guaranteed);
+    return start
+        > (long) Math.min(Long.MAX_VALUE / 4.0, job.submittedMs + 1000 * PATIENCE * within);
+  }
+
+  /** True while any variant may still be rented in this cycle. */
+  private boolean rentable(List<MachineType> types, int[] rented, long now) {
+    for (MachineType t : types) {
+      if (rented[t.index()] >= policy.step()) {
+        continue;
+      }
+      for (int zone : t.zones()) {
+        if (refusedUntil.get(new Variant(t, zone, true).key()) <= now
+            || refusedUntil.get(new Variant(t, zone, false).key()) <= now) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  /** When a slot could start the next task. */
+  private record Start(long at, int slot) {}
+
   /** True when a CPU of the variant costs little more than the cheapest one of all. */
   private static boolean cheap(Variant v, List<MachineType> types) {
     double least = Double.MAX_VALUE;
@@ -199,38 +277,34 @@
       releases.add(i, new Release(time, job));
     }
 
-    /** When a task of the job would have room, or {@code before} if not sooner than that. */
-    long start(Job job, long before) {
-      JobSpec s = job.spec;
-      if (at >= before
-          || !s.allows(variant.type.index(), variant.zone, variant.spot)
-          || !variant.type.fits(s)) {
-        return before;
+    /** When a task of the job would have room; the largest long for never. */
+    long start(JobSpec s) {
+      if (!s.allows(variant.type.index(), variant.zone, variant.spot) || !variant.type.fits(s)) {
+        return Long.MAX_VALUE;
       }
       if (room.fits(s)) {
         return at;
       }
       Room r = new Room(room.cpus, room.cards, room.memGb);
       for (Release x : releases) {
-        if (x.at >= before) {
-          return before;
-        }
         r.add(x.job, 1);
         if (r.fits(s)) {
           return Math.max(at, x.at);
         }
       }
-      return before;
+      return Long.MAX_VALUE;
     }
 
-    void take(Job job, long start) {
-      while (!room.fits(job.spec) && !releases.isEmpty()) {
-        room.add(releases.remove(0).job, 1);
+    void take(JobSpec s, long start) {
+      int freed = 0;
+      while (!room.fits(s) && freed < releases.size()) {
+        room.add(releases.get(freed++).job, 1);
       }
+      releases.subList(0, freed).clear();
       at = Math.max(at, start);
-      room.add(job.spec, -1);
-      double run = job.spec.estimateS() + job.spec.imageGb() / variant.type.fetchGbPerS();
-      add(at + (long) (run * 1000), job.spec);
+      room.add(s, -1);
+      double run = s.estimateS() + s.imageGb() / variant.type.fetchGbPerS();
+      add(at + (long) (run * 1000), s);
     }
   }
 
@@ -271,13 +345,18 @@
 
   /** The variant on which the job's waiting tasks cost least, as far as they fill a machine. */
   private Variant cheapest(
-      Job job, int left, List<MachineType> types, List<Variant> added, long now) {
+      Job job,
+      int left,
+      List<MachineType> types,
+      Object2IntLinkedOpenHashMap<Variant> added,
+      long now) {
     Variant best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType t : types) {
       if (!t.fits(job.spec)) {
         continue;
       }
+      int holds = Math.min(left, t.holds(job.spec));
       for (int zone : t.zones()) {
         for (int k = 0; k < 2; k++) {
           Variant v = new Variant(t, zone, k == 0);
@@ -286,14 +365,9 @@
               || (job.spec.together() && job.liveCount > job.zoneLive[zone])) {
             continue;
           }
-          int taken = 0;
-          for (Variant b : added) {
-            if (b.equals(v)) {
-              taken++;
-            }
-          }
+          int taken = added.getInt(v);
           // Equal prices spread over the zones, so that one zone's loss takes less.
-          double cost = v.price() / Math.min(left, t.holds(job.spec)) * (1 + 1e-3 * taken);
+          double cost = v.price() / holds * (1 + 1e-5 * taken);
           if (cost < bestCost) {
             bestCost = cost;
             best = v;
--- a/src/main/java/org/mallowroad/core/FleetPolicy.java
+++ b/src/main/java/org/mallowroad/core/FleetPolicy.java
@@ -22,6 +22,6 @@
 
   /** Starting values; see docs/design.md for what changed against the document. */
   public static FleetPolicy defaults() {
-    return new FleetPolicy(0.80, 5, 0.10, 3, 2_000, 50, 30_000);
+    return new FleetPolicy(0.80, 5, 0.10, 3, 2_000, 400, 30_000);
   }
 }
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -34,6 +34,9 @@
   long notBeforeMs;
   long waitingSinceMs;
 
+  /** When its last task was done. */
+  long allDoneMs;
+
   /** When it was submitted, on this process's steady clock. */
   final long submittedMs;
 
@@ -87,11 +90,26 @@
     return done.cardinality();
   }
 
+  /** Number of tasks that wait to be started. */
+  public int waitingCount() {
+    return pending.size();
+  }
+
+  /** Number of unresolved attempts. */
+  public int liveCount() {
+    return liveCount;
+  }
+
   /** Number of tasks known to run. */
   public int runningCount() {
     return runningCount;
   }
 
+  /** When its last task was done, once all are. */
+  public long allDoneMs() {
+    return allDoneMs;
+  }
+
   /** True when all tasks are done. */
   public boolean allDone() {
     return done.cardinality() == spec.tasks();
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -64,6 +64,16 @@
       new Object2ObjectLinkedOpenHashMap<>();
   private final ObjectOpenHashSet<String> gone = new ObjectOpenHashSet<>();
   private final ObjectLinkedOpenHashSet<Chunk> dirty = new ObjectLinkedOpenHashSet<>();
+
+  /** The dirty records for which starts wait, in the order in which they were placed. */
+  private final ObjectLinkedOpenHashSet<Chunk> urgent = new ObjectLinkedOpenHashSet<>();
+
+  /** Machines for which a launch or a stop may be due that no message has carried yet. */
+  private final ObjectLinkedOpenHashSet<Machine> outbox = new ObjectLinkedOpenHashSet<>();
+
+  /** Changes with every machine that comes or goes. */
+  private long machinesVersion;
+
   private final ObjectLinkedOpenHashSet<Job> ending = new ObjectLinkedOpenHashSet<>();
 
   /** Runs of completed attempts whose length tells slow machines from others. */
@@ -120,6 +130,24 @@
     return dirty;
   }
 
+  /** The dirty records for which starts wait. */
+  public Collection<Chunk> urgent() {
+    return urgent;
+  }
+
+  /**
+   * Machines that may have orders to be sent straight away. The caller removes those it has dealt
+   * with: a message a worker must not cost a walk over the fleet.
+   */
+  public Collection<Machine> outbox() {
+    return outbox;
+  }
+
+  /** Changes with every machine that comes or goes. */
+  long machinesVersion() {
+    return machinesVersion;
+  }
+
   /** Jobs whose tasks are all done and whose end is to be committed. */
   public Collection<Job> ending() {
     return ending;
@@ -177,13 +205,14 @@
     }
     rebuildPending(job);
     if (job.withdrawn) {
-      a.stop(0, now);
+      stop(a, 0, now);
     }
   }
 
   /** Call once all chunks of a restored job were taken. */
-  public void restored(Job job) {
+  public void restored(Job job, long now) {
     if (!job.withdrawn && job.allDone()) {
+      job.allDoneMs = now;
       ending.add(job);
     }
   }
@@ -215,7 +244,7 @@
       if (a.phase == Attempt.Phase.RECORDING) {
         resolve(a, Outcome.LOST, now); // Its launch was never sent, and never will be.
       } else {
-        a.stop(0, now);
+        stop(a, 0, now);
       }
     }
   }
@@ -233,6 +262,7 @@
     ending.remove(job);
     for (Chunk c : job.chunks) {
       dirty.remove(c);
+      urgent.remove(c);
     }
   }
 
@@ -245,10 +275,21 @@
     if (m == null) {
       m = new Machine(name, type, zone, spot, now);
       machines.put(name, m);
+      machinesVersion++;
     }
     return m;
   }
 
+  /** True when a pass of placement may give the machine work, or has just done so. */
+  public boolean mayGetWork(Machine m, long now) {
+    return takesWork(m, now) && m.free.cpus > Room.EPS;
+  }
+
+  /** True when new work may go to the machine at all. */
+  boolean takesWork(Machine m, long now) {
+    return m.usable() && m.coolUntilMs <= now && now - m.reportedMs <= freshMs;
+  }
+
   /** The one place that decides whether a task may start on a machine: null when it may. */
   public Refusal mayStart(Job job, int task, Machine m, long now) {
     JobSpec s = job.spec;
@@ -258,7 +299,7 @@
     if (job.done.get(task) || job.live[task] != null) {
       return Refusal.BUSY;
     }
-    if (!m.usable() || m.coolUntilMs > now || now - m.reportedMs > freshMs) {
+    if (!takesWork(m, now)) {
       return Refusal.MACHINE;
     }
     if (!s.allows(m.type.index(), m.zone, m.spot)) {
@@ -289,7 +330,9 @@
         new Attempt(job, task, job.number[task] + 1, m, m.session, Attempt.Phase.RECORDING, now);
     job.number[task] = a.number;
     book(a);
-    touch(job, task);
+    Chunk c = touch(job, task, now);
+    c.recording++;
+    urgent.add(c);
     return a;
   }
 
@@ -301,28 +344,44 @@
     team(a.job.spec).add(a.job.spec, 1);
   }
 
-  private void touch(Job job, int task) {
+  private Chunk touch(Job job, int task, long now) {
     Chunk c = job.chunks[task / Chunk.TASKS];
-    c.dirty = true;
+    if (!c.dirty) {
+      c.dirty = true;
+      c.dirtySinceMs = now;
+    }
     c.changes++;
     dirty.add(c);
+    return c;
   }
 
   /** The chunk's record is to be written or deleted once more. */
-  public void redo(Chunk c) {
-    touch(c.job, c.from());
+  public void redo(Chunk c, long now) {
+    touch(c.job, c.from(), now);
+  }
+
+  private void recorded(Attempt a) {
+    Chunk c = a.job.chunks[a.task / Chunk.TASKS];
+    if (--c.recording == 0) {
+      urgent.remove(c);
+    }
   }
 
   /** A commit of the chunk as it was at {@code changes} succeeded. */
-  public void committed(Chunk c, long mark, long changes, List<Attempt> recorded) {
+  public void committed(Chunk c, long mark, long changes, List<Attempt> recorded, long now) {
     c.mark = mark;
+    c.dirtySinceMs = now;
     if (c.changes == changes) {
       c.dirty = false;
       dirty.remove(c);
+    } else {
+      dirty.addAndMoveToLast(c); // The others have waited longer.
     }
     for (Attempt a : recorded) {
       if (a.phase == Attempt.Phase.RECORDING) {
         a.phase = Attempt.Phase.READY;
+        recorded(a);
+        outbox.add(a.machine);
       }
     }
   }
@@ -335,6 +394,11 @@
     Job job = a.job;
     if (a.phase == Attempt.Phase.RUNNING || a.phase == Attempt.Phase.FLUSHING) {
       job.runningCount--;
+    } else if (a.phase == Attempt.Phase.RECORDING) {
+      recorded(a);
+    }
+    if (a.stopping()) {
+      team(job.spec).stoppingCpus -= job.spec.cpus();
     }
     a.phase = Attempt.Phase.GONE;
     job.live[a.task] = null;
@@ -345,12 +409,13 @@
       a.machine.unfenced.add(a.key());
     }
     team(job.spec).add(job.spec, -1);
-    touch(job, a.task);
+    touch(job, a.task, now);
     if (outcome == Outcome.DONE && !job.spec.service()) {
       completed++;
       job.done.set(a.task);
       job.failures = 0;
       if (!job.withdrawn && job.allDone()) {
+        job.allDoneMs = now;
         ending.add(job);
       }
       return;
@@ -577,6 +642,8 @@
       resolve(a, Outcome.LOST, now);
     }
     machines.remove(m.name);
+    machinesVersion++;
+    outbox.remove(m);
     gone.add(m.name);
   }
 
@@ -609,6 +676,10 @@
 
   /** Asks for a stop of an attempt so that its machine can drain or another job gets room. */
   public void stop(Attempt a, double graceS, long now) {
+    if (!a.stopping()) {
+      team(a.job.spec).stoppingCpus += a.job.spec.cpus();
+    }
     a.stop(graceS, now);
+    outbox.add(a.machine);
   }
 }
--- a/src/main/java/org/mallowroad/core/MachineType.java
+++ b/src/main/java/org/mallowroad/core/MachineType.java
@@ -23,17 +23,7 @@
 
   /** How many tasks of the job an empty machine of this type holds. */
   public int holds(JobSpec job) {
-    double n = 1e6;
-    if (job.cpus() > 0) {
-      n = Math.min(n, (cpus + Room.EPS) / job.cpus());
-    }
-    if (job.cards() > 0) {
-      n = Math.min(n, (cards + Room.EPS) / job.cards());
-    }
-    if (job.memGb() > 0) {
-      n = Math.min(n, (memGb + Room.EPS) / job.memGb());
-    }
-    return (int) n;
+    return new Room(cpus, cards, memGb).holds(job, 1_000_000);
   }
 
   /** True when machines of this type are rented in the zone. */
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -15,15 +15,30 @@
 
   private static final long GUARANTEE_AFTER_MS = 4_000;
 
+  /** Looking for work to stop walks the whole fleet, so it is not done with every placement. */
+  private static final long PREEMPT_EVERY_MS = 400;
+
+  private static final int PREEMPT_JOBS = 16;
+
   private final Ledger ledger;
   private Machine[] order = new Machine[0];
+  private Machine[] open = new Machine[0];
+  private int openCount;
+  private long orderVersion = -1;
+  private long preemptedMs = Long.MIN_VALUE / 2;
   private final List<Job> queue = new ArrayList<>();
+  private long looked;
 
   /** A placement over a ledger. */
   public Placement(Ledger ledger) {
     this.ledger = ledger;
   }
 
+  /** Machines looked at so far: what a pass costs. */
+  long looked() {
+    return looked;
+  }
+
   /** A waiting job's place in the queue, computed anew for each pass. */
   private record Rank(Job job, double dueMs) {}
 
@@ -79,8 +94,15 @@
     if (!anyWaiting()) {
       return made;
     }
+    List<Job> waiting = queue(now);
     sortMachines();
-    for (Job job : queue(now)) {
+    findOpen(waiting, now);
+    boolean stops = now - preemptedMs >= PREEMPT_EVERY_MS;
+    if (stops) {
+      preemptedMs = now;
+    }
+    int stopping = 0;
+    for (Job job : waiting) {
       if (job.notBeforeMs > now) {
         continue;
       }
@@ -88,22 +110,17 @@
         placeGang(job, made, now);
         continue;
       }
-      while (!job.pending.isEmpty()) {
-        int task = job.pending.firstInt();
-        Machine m = find(job, task, now);
-        if (m == null) {
-          preempt(job, now);
-          break;
-        }
-        job.pending.dequeueInt();
-        made.add(ledger.start(job, task, m, now));
-        m.useImage(job.spec.image(), job.spec.imageGb());
+      fill(job, true, made, now);
+      fill(job, false, made, now);
+      if (stops && !job.pending.isEmpty() && stopping < PREEMPT_JOBS && preempt(job, now)) {
+        stopping++;
       }
     }
     return made;
   }
 
-  private boolean anyWaiting() {
+  /** True while any task waits. */
+  public boolean anyWaiting() {
     for (Job j : ledger.jobs()) {
       if (j.waiting()) {
         return true;
@@ -113,7 +130,12 @@
   }
 
   private void sortMachines() {
+    if (orderVersion == ledger.machinesVersion()) {
+      return;
+    }
+    orderVersion = ledger.machinesVersion();
     order = ledger.machines().toArray(new Machine[0]);
+    open = new Machine[order.length];
     // Small and cheap machines first: the large ones stay whole for the tasks that need them.
     Arrays.sort(
         order,
@@ -122,6 +144,52 @@
             .thenComparing(m -> m.name));
   }
 
+  /** The machines with room for the smallest waiting task: the only ones that jobs look at. */
+  private void findOpen(List<Job> waiting, long now) {
+    double cpus = Double.MAX_VALUE;
+    double memGb = Double.MAX_VALUE;
+    for (Job j : waiting) {
+      cpus = Math.min(cpus, j.spec.cpus());
+      memGb = Math.min(memGb, j.spec.memGb());
+    }
+    openCount = 0;
+    looked += order.length;
+    for (Machine m : order) {
+      if (cpus <= m.free.cpus + Room.EPS
+          && memGb <= m.free.memGb + Room.EPS
+          && ledger.takesWork(m, now)) {
+        open[openCount++] = m;
+      }
+    }
+  }
+
+  /** Places waiting tasks of a job on open machines, first-fit, that have its image or have not. */
+  private void fill(Job job, boolean cached, List<Attempt> made, long now) {
+    JobSpec s = job.spec;
+    for (int i = 0; i < openCount && !job.pending.isEmpty(); i++) {
+      Machine m = open[i];
+      looked++;
+      if (!m.free.fits(s)
+          || m.hasImage(s.image()) != cached
+          || (job.failedOn.size() < 3 && job.failedOn.contains(m.name))) {
+        continue;
+      }
+      while (!job.pending.isEmpty()) {
+        int task = job.pending.firstInt();
+        Ledger.Refusal no = ledger.mayStart(job, task, m, now);
+        if (no == Ledger.Refusal.QUOTA) {
+          return; // No other machine helps.
+        }
+        if (no != null) {
+          break;
+        }
+        job.pending.dequeueInt();
+        made.add(ledger.start(job, task, m, now));
+        m.useImage(s.image(), s.imageGb());
+      }
+    }
+  }
+
   /** Places all waiting tasks of a gang or none of them. */
   private void placeGang(Job job, List<Attempt> made, long now) {
     JobSpec s = job.spec;
@@ -159,65 +227,61 @@
     }
   }
 
-  private Machine find(Job job, int task, long now) {
-    Machine best = null;
-    for (Machine m : order) {
-      if (job.failedOn.contains(m.name) && job.failedOn.size() < 3) {
-        continue;
-      }
-      if (ledger.mayStart(job, task, m, now) != null) {
-        continue;
-      }
-      if (m.hasImage(job.spec.image())) {
-        return m;
-      }
-      if (best == null) {
-        best = m;
-      }
-    }
-    return best;
-  }
+  /** Work whose stop makes room on one machine, and for how many tasks. */
+  private record Stops(List<Attempt> victims, int holds, double loss) {}
 
   /**
    * Stops less important work for a job that found no room: work of lower priority, or work of the
    * same or lower priority that another team runs beyond its guarantee while this job's team is
-   * within its own. The work that loses least is stopped, and no more than one task needs.
+   * within its own. The work that loses least for each task is stopped, and no more than the
+   * waiting tasks need.
+   *
+   * @return true when the fleet was walked
    */
-  private void preempt(Job job, long now) {
+  private boolean preempt(Job job, long now) {
     JobSpec s = job.spec;
     Team team = ledger.team(s);
     long waited = now - job.waitingSinceMs;
     if (waited < PREEMPT_AFTER_MS || !team.allows(s, 1)) {
-      return;
+      return false;
     }
     boolean guarantee = waited >= GUARANTEE_AFTER_MS && job.guaranteed && team.guarantees(s);
-    List<Attempt> best = null;
-    double bestLoss = Double.MAX_VALUE;
+    int need = team.most(s, job.pending.size());
+    List<Stops> options = new ArrayList<>();
+    looked += order.length;
     for (Machine m : order) {
-      if (!m.usable() || !s.allows(m.type.index(), m.zone, m.spot) || !m.type.fits(s)) {
-        continue;
-      }
-      if (s.together() && job.liveCount > job.zoneLive[m.zone]) {
-        continue;
-      }
-      if (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap()) {
+      if (m.empty()
+          || !m.usable()
+          || !s.allows(m.type.index(), m.zone, m.spot)
+          || !m.type.fits(s)
+          || (s.together() && job.liveCount > job.zoneLive[m.zone])
+          || (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap())) {
         continue;
       }
       Room room = new Room(m.free.cpus, m.free.cards, m.free.memGb);
-      List<Attempt> victims = new ArrayList<>();
-      double loss = 0;
-      List<Attempt> candidates = new ArrayList<>();
+      List<Attempt> candidates = null;
       for (Attempt a : m.attempts) {
         if (a.stopping()) {
           room.add(a.job.spec, 1);
         } else if (stoppable(a, job, guarantee)) {
+          if (candidates == null) {
+            candidates = new ArrayList<>();
+          }
           candidates.add(a);
         }
       }
-      if (room.fits(s)) {
-        return; // What is stopping already will make room.
+      // What is stopping already will make room.
+      int coming = room.holds(s, need);
+      need -= coming;
+      if (need == 0) {
+        return true;
+      }
+      if (candidates == null || coming > 0) {
+        continue;
       }
       candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
+      List<Attempt> victims = new ArrayList<>();
+      double loss = 0;
       for (Attempt a : candidates) {
         if (room.fits(s)) {
           break;
@@ -226,16 +290,27 @@
         room.add(a.job.spec, 1);
         loss += loss(a, now);
       }
-      if (room.fits(s) && !victims.isEmpty() && loss < bestLoss) {
-        best = victims;
-        bestLoss = loss;
+      if (!victims.isEmpty() && room.fits(s)) {
+        options.add(new Stops(victims, room.holds(s, need), loss));
       }
     }
-    if (best != null) {
-      for (Attempt a : best) {
-        ledger.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0, now);
+    options.sort(Comparator.comparingDouble(o -> o.loss / o.holds));
+    for (Stops o : options) {
+      if (need <= 0) {
+        break;
+      }
+      boolean still = true;
+      for (Attempt a : o.victims) {
+        still &= stoppable(a, job, guarantee); // Their team may have given enough by now.
+      }
+      if (still) {
+        for (Attempt a : o.victims) {
+          ledger.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0, now);
+        }
+        need -= o.holds;
       }
     }
+    return true;
   }
 
   /**
--- a/src/main/java/org/mallowroad/core/Room.java
+++ b/src/main/java/org/mallowroad/core/Room.java
@@ -26,6 +26,21 @@
     return job.cpus() <= cpus + EPS && job.cards() <= cards + EPS && job.memGb() <= memGb + EPS;
   }
 
+  /** How many tasks of the job fit, {@code most} at the most. */
+  public int holds(JobSpec job, int most) {
+    double n = most;
+    if (job.cpus() > 0) {
+      n = Math.min(n, (cpus + EPS) / job.cpus());
+    }
+    if (job.cards() > 0) {
+      n = Math.min(n, (cards + EPS) / job.cards());
+    }
+    if (job.memGb() > 0) {
+      n = Math.min(n, (memGb + EPS) / job.memGb());
+    }
+    return (int) Math.max(0, n);
+  }
+
   /** Adds what {@code n} tasks of the job take; negative to take away. */
   public void add(JobSpec job, int n) {
     cpus += n * job.cpus();
--- a/src/main/java/org/mallowroad/core/Team.java
+++ b/src/main/java/org/mallowroad/core/Team.java
@@ -12,6 +12,9 @@
   double usedCpus;
   double usedCards;
 
+  /** Part of what is used by attempts that were told to stop. */
+  double stoppingCpus;
+
   /** A team as the settings give it. */
   public Team(String name, double cpus, double cards, double cpusMax, double cardsMax) {
     this.name = name;
@@ -27,6 +30,11 @@
         && usedCards + n * job.cards() <= cardsMax + Room.EPS;
   }
 
+  /** How many more tasks of the job stay within the limit, {@code n} at the most. */
+  int most(JobSpec job, int n) {
+    return new Room(cpusMax - usedCpus, cardsMax - usedCards, Double.MAX_VALUE).holds(job, n);
+  }
+
   /** True when {@code n} tasks of the job alone stay within the limit. */
   public boolean couldRun(JobSpec job, int n) {
     return n * job.cpus() <= cpusMax + Room.EPS && n * job.cards() <= cardsMax + Room.EPS;
@@ -39,7 +47,8 @@
 
   /** True when the team keeps its guarantee in full without one task of the job. */
   boolean borrows(JobSpec job) {
-    return usedCpus - job.cpus() >= cpus - Room.EPS
+    // What is stopping already is as good as gone: many tasks may be stopped in one pass.
+    return usedCpus - stoppingCpus - job.cpus() >= cpus - Room.EPS
         && (job.cards() == 0 || usedCards - job.cards() >= cards - Room.EPS);
   }
 
--- a/src/main/java/org/mallowroad/net/Budget.java
+++ b/src/main/java/org/mallowroad/net/Budget.java
@@ -30,6 +30,12 @@
     return true;
   }
 
+  /** Tokens that are there now; below 0 in debt. */
+  public double ready(long now) {
+    refill(now);
+    return tokens;
+  }
+
   /** Takes {@code n} tokens even if that leaves a debt, for what must not wait. */
   public void force(double n, long now) {
     refill(now);
--- a/src/main/java/org/mallowroad/state/Records.java
+++ b/src/main/java/org/mallowroad/state/Records.java
@@ -3,8 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HexFormat;
+import java.util.List;
 import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Chunk;
 import org.mallowroad.core.JobSpec;
@@ -75,38 +79,80 @@
     return o;
   }
 
-  /** A run record. */
+  /**
+   * A run record. Attempts stand grouped by machine and session, and what is said of a machine
+   * stands once for all machines like it: a record is written with every start, so each byte is
+   * paid for often.
+   */
   public static ObjectNode runValue(Chunk c, Names zones) {
     ObjectNode o = Json.object();
     BitSet done = new BitSet();
     int high = 0;
-    ObjectNode machines = Json.object();
+    ArrayNode kinds = Json.array();
     ArrayNode live = Json.array();
+    Object2ObjectLinkedOpenHashMap<String, ArrayNode> groups =
+        new Object2ObjectLinkedOpenHashMap<>();
+    Object2IntOpenHashMap<String> kindOf = new Object2IntOpenHashMap<>();
     for (int t = c.from(); t < c.to(); t++) {
       if (c.job.isDone(t)) {
         done.set(t - c.from());
       }
       high = Math.max(high, c.job.number(t));
       Attempt a = c.job.live(t);
-      if (a != null) {
-        live.addArray().add(t).add(a.number).add(a.machine.name).add(a.session);
+      if (a == null) {
+        continue;
+      }
+      String key = a.machine.name + " " + a.session;
+      ArrayNode group = groups.get(key);
+      if (group == null) {
         Machine m = a.machine;
-        if (!machines.has(m.name)) {
-          machines.putArray(m.name).add(m.type.name()).add(zones.name(m.zone)).add(m.spot);
+        String kind = m.type.name() + " " + m.zone + " " + m.spot;
+        int k = kindOf.getOrDefault(kind, -1);
+        if (k < 0) {
+          k = kindOf.size();
+          kindOf.put(kind, k);
+          kinds.addArray().add(m.type.name()).add(zones.name(m.zone)).add(m.spot);
         }
+        group = live.addArray().add(m.name).add(a.session).add(k);
+        groups.put(key, group);
       }
+      group.add(t).add(a.number);
     }
     if (!done.isEmpty()) {
       o.put("done", HexFormat.of().formatHex(done.toByteArray()));
     }
     o.put("high", high);
     if (!live.isEmpty()) {
-      o.set("machines", machines);
+      o.set("kinds", kinds);
       o.set("live", live);
     }
     return o;
   }
 
+  /** An unresolved attempt as a run record has it. */
+  public record Live(
+      int task, int number, String machine, long session, String type, String zone, boolean spot) {}
+
+  /** The unresolved attempts of a run record. */
+  public static List<Live> live(JsonNode run) {
+    List<Live> out = new ArrayList<>();
+    for (JsonNode g : run.path("live")) {
+      JsonNode kind = run.path("kinds").path(g.path(2).asInt(-1));
+      for (int i = 3; i + 1 < g.size(); i += 2) {
+        out.add(
+            new Live(
+                g.get(i).asInt(),
+                g.get(i + 1).asInt(),
+                g.get(0).asText(),
+                g.get(1).asLong(),
+                kind.path(0).asText(),
+                kind.path(1).asText(),
+                kind.path(2).asBoolean()));
+      }
+    }
+    return out;
+  }
+
   /** The done tasks of a run record. */
   public static BitSet done(JsonNode run) {
     JsonNode n = run.get("done");
--- a/src/main/java/org/mallowroad/worker/WorkerClient.java
+++ b/src/main/java/org/mallowroad/worker/WorkerClient.java
@@ -19,10 +19,10 @@
 public final class WorkerClient {
   private static final Logger LOG = LoggerFactory.getLogger(WorkerClient.class);
   private static final long TIMEOUT_MS = 4_000;
-  private static final int MAX_WORKERS = 500;
 
   private final Loop loop;
   private final ByteBufferPool buffers;
+  private final int maxWorkers;
   private final Object2ObjectLinkedOpenHashMap<String, HttpCaller> callers =
       new Object2ObjectLinkedOpenHashMap<>();
   private final ObjectOpenHashSet<String> busy = new ObjectOpenHashSet<>();
@@ -43,8 +43,9 @@
     void sent(Result result, WorkerReport report);
   }
 
-  /** Over the loop. */
-  public WorkerClient(Loop loop, ByteBufferPool buffers) {
+  /** Over the loop, with connections kept to at most {@code maxWorkers} workers. */
+  public WorkerClient(Loop loop, ByteBufferPool buffers, int maxWorkers) {
+    this.maxWorkers = maxWorkers;
     this.loop = loop;
     this.buffers = buffers;
   }
@@ -69,7 +70,7 @@
       Endpoint to = new Endpoint(address.substring(0, Math.max(0, colon)), port);
       caller = new HttpCaller(loop, buffers, to, "application/json", 2);
       callers.put(address, caller);
-      if (callers.size() > MAX_WORKERS) {
+      if (callers.size() > maxWorkers) {
         callers.removeFirst().close();
       }
     }
--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -79,7 +79,7 @@
             recorded.add(c.job.live(t));
           }
         }
-        ledger.committed(c, 9, c.changes, recorded);
+        ledger.committed(c, 9, c.changes, recorded, now);
       }
     }
 
@@ -290,7 +290,7 @@
               Chunk c = j.chunk(0);
               long changes = c.changes;
               w.ledger.withdraw(j, w.now);
-              w.ledger.committed(c, 9, changes, List.of(a));
+              w.ledger.committed(c, 9, changes, List.of(a), w.now);
               assertEquals(Attempt.Phase.GONE, a.phase);
               assertEquals(List.of(), w.report(m, 1, TERM));
             }),
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/ScaleTest.java
@@ -0,0 +1,194 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.state.Records;
+import org.mallowroad.wire.Json;
+
+/**
+ * A thousand machines and thousands of waiting tasks, in counts of work rather than time: what the
+ * leader does must grow with what changed, not with fleet times queue.
+ */
+final class ScaleTest {
+  private static final int MACHINES = 1_000;
+  private static final int JOBS = 60;
+  private static final int TASKS = 150;
+
+  /** Machines of 32 CPUs in two zones, jobs of 150 tasks of 4 CPUs. */
+  private static final class World {
+    final Names zones = new Names();
+    final MachineType type =
+        new MachineType(0, "t32", 32, 0, 256, 100, 1, 2.0, 0.5, 30, new int[] {0, 1});
+    final Ledger ledger;
+    final Placement placement;
+    final Fleet fleet;
+    long now = 1_000_000;
+
+    World(int machines) {
+      zones.intern("north-eastern-zone");
+      zones.intern("south-western-zone");
+      Team team = new Team("team", 1e6, 0, 1e6, 0);
+      ledger = new Ledger(1, 26, 4, List.of(team, new Team("other", 1e6, 0, 1e6, 0)), zones);
+      placement = new Placement(ledger);
+      fleet = new Fleet(ledger, FleetPolicy.defaults(), new Objectives());
+      for (int i = 0; i < machines; i++) {
+        String name = String.format("n-%06d", i);
+        Machine m = ledger.meet(name, type, i % 2, false, now);
+        ledger.report(
+            m,
+            new WorkerReport(name, "h:" + i, "t32", "a", false, 1, 1, 1, -1, List.of()),
+            true,
+            now);
+      }
+    }
+
+    void jobs(int priority) {
+      for (int j = 0; j < JOBS; j++) {
+        String id = "job-" + (100 * priority + j);
+        ledger.accept(Specs.array(id, TASKS, 4).priority(priority).spot().build(), 5, 0, now);
+      }
+    }
+
+    void commit() {
+      for (Chunk c : new ArrayList<>(ledger.dirty())) {
+        List<Attempt> recorded = new ArrayList<>();
+        for (int t = c.from(); t < c.to(); t++) {
+          if (c.job.live(t) != null) {
+            recorded.add(c.job.live(t));
+          }
+        }
+        ledger.committed(c, 9, c.changes, recorded, now);
+      }
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest scale(String name, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World(MACHINES)));
+  }
+
+  private static void atMost(long bound, long n) {
+    assertTrue(n <= bound, n + " instead of at most " + bound);
+  }
+
+  @TestFactory
+  Stream<DynamicTest> work() {
+    return Stream.of(
+        scale(
+            "a pass fills the fleet; a task does not cost a walk over it",
+            w -> {
+              w.jobs(2);
+              assertEquals(MACHINES * 8, w.placement.place(w.now).size());
+              // Once round for the room, then twice a job; 9,000 tasks would be 9 million.
+              atMost(MACHINES * (2 * JOBS + 2), w.placement.looked());
+            }),
+        scale(
+            "with the fleet full, a pass looks at each machine once, however long the queue",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.jobs(3);
+              long before = w.placement.looked();
+              assertEquals(0, w.placement.place(w.now + 100).size());
+              atMost(MACHINES, w.placement.looked() - before);
+            }),
+        scale(
+            "looking for work to stop walks the fleet for a few jobs and not at every pass",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.commit();
+              w.jobs(1);
+              w.now += 2_000;
+              long before = w.placement.looked();
+              for (int pass = 0; pass < 4; pass++) {
+                w.placement.place(w.now + 50 * pass);
+              }
+              atMost(MACHINES * (16 + 4), w.placement.looked() - before);
+            }),
+        scale(
+            "a forecast looks at the fleet once a job, not once a task",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.jobs(3);
+              int rented =
+                  w
+                      .fleet
+                      .rents(w.placement.queue(w.now), List.of(), List.of(w.type), w.now)
+                      .stream()
+                      .mapToInt(Fleet.Rent::count)
+                      .sum();
+              assertEquals(FleetPolicy.defaults().step(), rented);
+              atMost((MACHINES + rented) * 2L * JOBS, w.fleet.looked());
+            }),
+        scale(
+            "rents come in calls that the cloud takes",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.jobs(3);
+              for (Fleet.Rent r :
+                  w.fleet.rents(w.placement.queue(w.now), List.of(), List.of(w.type), w.now)) {
+                atMost(50, r.count());
+              }
+            }),
+        scale(
+            "one start writes one record, and one machine has something to send",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.commit();
+              w.ledger.outbox().clear();
+              Machine m = w.ledger.machine("n-000007");
+              Attempt a = m.attempts().iterator().next();
+              w.ledger.resolve(a, Ledger.Outcome.LOST, w.now);
+              assertEquals(1, w.ledger.dirty().size());
+              assertEquals(0, w.ledger.urgent().size());
+              assertEquals(1, w.placement.place(w.now).size());
+              assertEquals(1, w.ledger.urgent().size());
+              w.commit();
+              assertEquals(0, w.ledger.urgent().size());
+              assertEquals(List.of(m), List.copyOf(w.ledger.outbox()));
+            }),
+        scale(
+            "a full record stays well below the least value limit",
+            w -> {
+              Job j = w.ledger.accept(Specs.array("job-1", 128, 32).spot().build(), 5, 0, w.now);
+              w.placement.place(w.now);
+              String text = Json.text(Records.runValue(j.chunk(0), w.zones));
+              atMost(6 * 1024, text.length());
+            }));
+  }
+
+  /** What a record says is what a takeover reads. */
+  @TestFactory
+  Stream<DynamicTest> records() {
+    return Stream.of(
+        scale(
+            "attempts come back from their record, each with its machine",
+            w -> {
+              Job j = w.ledger.accept(Specs.array("job-1", 100, 8).spot().build(), 5, 0, w.now);
+              w.placement.place(w.now);
+              List<Records.Live> live = Records.live(Records.runValue(j.chunk(0), w.zones));
+              assertEquals(100, live.size());
+              for (Records.Live l : live) {
+                Attempt a = j.live(l.task());
+                assertEquals(a.machine.name, l.machine());
+                assertEquals(a.number, l.number());
+                assertEquals(a.session, l.session());
+                assertEquals(w.zones.name(a.machine.zone), l.zone());
+                assertEquals("t32", l.type());
+              }
+            }));
+  }
+}
