--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -30,8 +30,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(FleetManager.class);
   private static final long LIST_MS = 4_000;
   private static final long TYPES_MS = 30_000;
-  private static final long SILENT_MS = 12_000;
+  private static final long SILENT_MS = 2_000;
+  private static final long UNSEEN_MS = 12_000;
   private static final long MET_MS = 25_000;
+  private static final long JUDGE_MS = 500;
   private static final long AGAIN_MS = 300;
 
   private final Loop loop;
@@ -43,6 +45,7 @@
   private final Budget writes;
   private final int maxOps;
   private final long silentMs;
+  private final long unseenMs;
   private final long term;
   private final long mark;
   private final Office office;
@@ -112,7 +115,10 @@
     this.ledger = ledger;
     this.writes = writes;
     this.maxOps = maxOps;
-    this.silentMs = (long) Math.max(SILENT_MS, site.settings.reportS() * 3000);
+    // Reports come up to a quarter late. A machine that has missed one is hung, cut off or dead:
+    // the sooner it is returned, the sooner its tasks run elsewhere.
+    this.silentMs = (long) (site.settings.reportS() * 1500) + SILENT_MS;
+    this.unseenMs = Math.max(UNSEEN_MS, (long) (site.settings.reportS() * 3000));
     this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
@@ -129,6 +135,7 @@
   /** The report round is over: from now on machines are rented and returned. */
   void act() {
     duties.add(loop.every(site.operator.fleet().cycleMs(), this::cycle));
+    duties.add(loop.every(JUDGE_MS, this::judge));
     cycle();
   }
 
@@ -233,8 +240,13 @@
       LOG.info("event=return machine={} idle_ms={}", m.name, now - m.emptySinceMs);
       m.returning = true;
     }
-    judgeSilent(now);
-    sendDeletes(now);
+  }
+
+  private void judge() {
+    if (!stopped && office.firm()) {
+      judgeSilent(loop.now());
+      sendDeletes();
+    }
   }
 
   private List<Coming> coming(long now) {
@@ -327,6 +339,8 @@
           if (refused || names.size() < h.count) {
             LOG.info("event=rent_short hire={} got={} of={}", h.name, names.size(), h.count);
             fleet.refused(h.variant, now);
+          } else {
+            fleet.granted(h.variant);
           }
           for (String n : names) {
             Machine m = ledger.machine(n);
@@ -350,8 +364,10 @@
         over.add(h);
       }
     }
-    // Nobody waits for this: it leaves the budget to the starts.
-    if (over.isEmpty() || writes.ready(loop.now()) < over.size() + 2) {
+    // Nobody waits for this, so it leaves the budget to the starts; but a takeover repeats each
+    // recorded request, so they must not pile up.
+    if (over.isEmpty()
+        || (over.size() < maxOps / 2 && writes.ready(loop.now()) < over.size() + 2)) {
       return;
     }
     Txn txn = new Txn().given(Election.LEADER, mark);
@@ -394,7 +410,7 @@
           LOG.info("event=machine_silent machine={} ms={}", m.name, now - m.reportedMs);
           m.returning = true;
         }
-      } else if (now - m.sinceMs > MET_MS) {
+      } else if (now - m.sinceMs > unseenMs) {
         LOG.info("event=machine_unseen machine={}", m.name);
         m.returning = true;
       }
@@ -415,7 +431,7 @@
     }
   }
 
-  private void sendDeletes(long now) {
+  private void sendDeletes() {
     if (deleting) {
       return;
     }
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -130,6 +130,18 @@
               @Override
               public void ended(Job job, boolean done) {
                 if (done) {
+                  LOG.info(
+                      "event=job_done job={} priority={} tasks={} age_s={} due_s={}"
+                          + " placed_s={} tries={} cpus={} est={}",
+                      job.spec.id(),
+                      job.spec.priority(),
+                      job.spec.tasks(),
+                      (loop.now() - job.submittedMs()) / 1000,
+                      (long) job.spec.dueS(),
+                      (job.lastStartMs() - job.submittedMs()) / 1000,
+                      job.tries(),
+                      job.spec.cpus(),
+                      job.spec.estimateS());
                   onEnd.accept(job);
                 }
               }
@@ -595,13 +607,14 @@
         live += j.liveCount();
       }
       LOG.info(
-          "event=load lag_ms={} reports={} direct={} passes={} pass_ms={} commits={} writes={}"
+          "event=load lag_ms={} reports={} direct={} passes={} pass_ms={} stops={} commits={} writes={}"
               + " dirty={} urgent={} jobs={} waiting={} live={} machines={}",
           lagMs,
           reports,
           direct,
           passes,
           passNs / 1_000_000,
+          placement.stops(),
           committer.commits(),
           committer.writes(),
           ledger.dirty().size(),
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -92,7 +92,7 @@
             loop,
             state,
             new Budget(s.stateRps() * 0.8 / s.nodes(), s.stateRps() * 0.8 / s.nodes(), now),
-            new Budget(s.stateWriteRps() * 0.3 / s.nodes(), s.stateWriteRps() * 0.3, now),
+            new Budget(s.stateWriteRps() * 0.4 / s.nodes(), s.stateWriteRps() * 0.6, now),
             new NodeJobs(),
             s.valueKb());
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -1,6 +1,7 @@
 package org.mallowroad.core;
 
 import it.unimi.dsi.fastutil.longs.Long2LongOpenHashMap;
+import it.unimi.dsi.fastutil.longs.LongOpenHashSet;
 import it.unimi.dsi.fastutil.objects.Object2IntLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import java.util.ArrayList;
@@ -42,6 +43,11 @@
 
   private static final double CHEAP = 2;
 
+  /** Empty machines beyond this share of the fleet, and beyond this number, go back soon. */
+  private static final double IDLE_SHARE = 0.08;
+
+  private static final int IDLE_LEAST = 8;
+
   /** A rent must bring a start forward by this much. */
   private static final long WORTH_MS = 5_000;
 
@@ -50,6 +56,7 @@
   private final Objectives objectives;
   private long looked;
   private final Long2LongOpenHashMap refusedUntil = new Long2LongOpenHashMap();
+  private final LongOpenHashSet probing = new LongOpenHashSet();
 
   /** A fleet over a ledger. */
   public Fleet(Ledger ledger, FleetPolicy policy, Objectives objectives) {
@@ -66,6 +73,17 @@
   /** The cloud had none, or fewer than asked: other variants are tried for a while. */
   public void refused(Variant v, long now) {
     refusedUntil.put(v.key(), now + REFUSED_MS);
+    probing.add(v.key());
+  }
+
+  /** The cloud gave all that was asked for: there may be more. */
+  public void granted(Variant v) {
+    probing.remove(v.key());
+  }
+
+  private boolean refused(Variant v, int taken, long now) {
+    // After a refusal one call shows whether there is room again.
+    return refusedUntil.get(v.key()) > now || (taken >= MOST_A_CALL && probing.contains(v.key()));
   }
 
   /**
@@ -205,7 +223,8 @@
       return true; // Waiting saves nothing where machines are cheap.
     }
     double fetchS = job.spec.imageGb() / v.type.fetchGbPerS();
-    double within = objectives.startWithinS(job.spec, fetchS, job.guaranteed);
+    double readyS = (now + boot(v) - job.submittedMs) / 1000.0 + fetchS;
+    double within = objectives.startWithinS(job.spec, fetchS, job.guaranteed, readyS);
     return start
         > (long) Math.min(Long.MAX_VALUE / 4.0, job.submittedMs + 1000 * PATIENCE * within);
   }
@@ -360,12 +379,12 @@
       for (int zone : t.zones()) {
         for (int k = 0; k < 2; k++) {
           Variant v = new Variant(t, zone, k == 0);
+          int taken = added.getInt(v);
           if (!job.spec.allows(t.index(), zone, v.spot)
-              || refusedUntil.get(v.key()) > now
+              || refused(v, taken, now)
               || (job.spec.together() && job.liveCount > job.zoneLive[zone])) {
             continue;
           }
-          int taken = added.getInt(v);
           // Equal prices spread over the zones, so that one zone's loss takes less.
           double cost = v.price() / holds * (1 + 1e-5 * taken);
           if (cost < bestCost) {
@@ -406,6 +425,7 @@
       least = Math.min(least, Math.min(m.type.price(), m.type.spotPrice()) / m.type.cpus());
     }
     List<Machine> empty = new ArrayList<>();
+    int idle = 0;
     double load = 0;
     double cpus = 0;
     int n = 0;
@@ -419,15 +439,33 @@
       // The dearer its CPUs, the sooner an idle machine goes: it must pay for the next boot it
       // saves.
       double dear = least * m.type.cpus() / Math.max(1e-9, m.type.price(m.spot));
-      if (m.empty() && now - m.emptySinceMs >= policy.idleMs() * Math.min(1, dear)) {
-        empty.add(m);
+      if (m.empty()) {
+        idle++;
+        if (now - m.emptySinceMs >= policy.idleMs() * Math.min(1, dear)) {
+          empty.add(m);
+        }
       }
     }
+    // When a large fleet runs empty, those beyond what a burst may want need not wait.
+    int excess = idle - (int) Math.max(IDLE_LEAST, IDLE_SHARE * n);
+    if (excess > empty.size()) {
+      empty.clear();
+      for (Machine m : ledger.machines()) {
+        if (m.usable() && m.empty() && now - m.emptySinceMs >= SOON_MS) {
+          empty.add(m);
+        }
+      }
+    } else {
+      excess = empty.size();
+    }
     empty.sort(
         Comparator.comparingDouble((Machine m) -> -m.type.price(m.spot))
             .thenComparing(m -> m.name));
     List<Machine> out = new ArrayList<>();
     for (Machine m : empty) {
+      if (out.size() >= excess) {
+        break;
+      }
       double rest = cpus - m.type.cpus();
       boolean last = n == 1 && !anyWaiting;
       if (last || (rest > 0 && load / rest + policy.bookedSpare() < policy.bookedLimit())) {
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -37,6 +37,9 @@
   /** When its last task was done. */
   long allDoneMs;
 
+  /** When one of its tasks was last given to a machine. */
+  long lastStartMs;
+
   /** When it was submitted, on this process's steady clock. */
   final long submittedMs;
 
@@ -48,6 +51,7 @@
 
   Job(JobSpec spec, long mark, int zones, long submittedMs, long now) {
     this.submittedMs = submittedMs;
+    this.lastStartMs = submittedMs;
     this.spec = spec;
     this.mark = mark;
     this.number = new int[spec.tasks()];
@@ -105,6 +109,25 @@
     return runningCount;
   }
 
+  /** When it was submitted, on this process's steady clock. */
+  public long submittedMs() {
+    return submittedMs;
+  }
+
+  /** When one of its tasks was last given to a machine. */
+  public long lastStartMs() {
+    return lastStartMs;
+  }
+
+  /** The most attempts that one of its tasks has had. */
+  public int tries() {
+    int most = 0;
+    for (int n : number) {
+      most = Math.max(most, n);
+    }
+    return most;
+  }
+
   /** When its last task was done, once all are. */
   public long allDoneMs() {
     return allDoneMs;
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -79,9 +79,9 @@
   /** Runs of completed attempts whose length tells slow machines from others. */
   private long completed;
 
-  /** An empty ledger for a term; machines silent for over two reports get no work. */
+  /** An empty ledger for a term; machines whose report is overdue get no work. */
   public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
-    this.freshMs = (long) (reportS * 2000);
+    this.freshMs = (long) (reportS * 1250) + 1_500;
     this.term = term;
     // Clocks of two machines drift apart by up to 0.05%; half a second covers timers that fire
     // late.
@@ -329,6 +329,7 @@
     Attempt a =
         new Attempt(job, task, job.number[task] + 1, m, m.session, Attempt.Phase.RECORDING, now);
     job.number[task] = a.number;
+    job.lastStartMs = now;
     book(a);
     Chunk c = touch(job, task, now);
     c.recording++;
--- a/src/main/java/org/mallowroad/core/Objectives.java
+++ b/src/main/java/org/mallowroad/core/Objectives.java
@@ -52,13 +52,18 @@
     return due;
   }
 
-  /** Seconds after its submission by which the last task should start. */
-  public double startWithinS(JobSpec s, double fetchS, boolean guaranteed) {
+  /**
+   * Seconds after its submission by which the last task should start.
+   *
+   * @param readyS when a machine rented now could run it: a wait that is exceeded by then is no
+   *     reason to rent
+   */
+  public double startWithinS(JobSpec s, double fetchS, boolean guaranteed, double readyS) {
     double start = doneWithinS(s) - ESTIMATE_MARGIN * s.estimateS() - fetchS;
-    start = Math.min(start, waitS.get(s.taskClass()));
+    double wait = waitS.get(s.taskClass());
     if (guaranteed) {
-      start = Math.min(start, guaranteeS);
+      wait = Math.min(wait, guaranteeS);
     }
-    return Math.max(0, start);
+    return Math.max(0, readyS <= wait ? Math.min(start, wait) : start);
   }
 }
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -20,6 +20,9 @@
 
   private static final int PREEMPT_JOBS = 16;
 
+  /** For this part of its slack a job with a deadline lets others pass that need no fetch. */
+  private static final double YIELD = 0.3;
+
   private final Ledger ledger;
   private Machine[] order = new Machine[0];
   private Machine[] open = new Machine[0];
@@ -28,6 +31,7 @@
   private long preemptedMs = Long.MIN_VALUE / 2;
   private final List<Job> queue = new ArrayList<>();
   private long looked;
+  private long stops;
 
   /** A placement over a ledger. */
   public Placement(Ledger ledger) {
@@ -39,6 +43,11 @@
     return looked;
   }
 
+  /** Attempts stopped so far so that more important work gets room. */
+  public long stops() {
+    return stops;
+  }
+
   /** A waiting job's place in the queue, computed anew for each pass. */
   private record Rank(Job job, double dueMs) {}
 
@@ -97,12 +106,18 @@
     List<Job> waiting = queue(now);
     sortMachines();
     findOpen(waiting, now);
-    boolean stops = now - preemptedMs >= PREEMPT_EVERY_MS;
-    if (stops) {
+    boolean seek = now - preemptedMs >= PREEMPT_EVERY_MS;
+    if (seek) {
       preemptedMs = now;
     }
     int stopping = 0;
-    for (Job job : waiting) {
+    int from = 0;
+    for (int i = 0; i < waiting.size(); i++) {
+      Job job = waiting.get(i);
+      if (i == 0 || !alike(job, waiting.get(from))) {
+        from = i;
+        fillCached(waiting, from, made, now);
+      }
       if (job.notBeforeMs > now) {
         continue;
       }
@@ -112,13 +127,40 @@
       }
       fill(job, true, made, now);
       fill(job, false, made, now);
-      if (stops && !job.pending.isEmpty() && stopping < PREEMPT_JOBS && preempt(job, now)) {
+      if (seek && !job.pending.isEmpty() && stopping < PREEMPT_JOBS && preempt(job, now)) {
         stopping++;
       }
     }
     return made;
   }
 
+  private static boolean alike(Job a, Job b) {
+    return a.spec.priority() == b.spec.priority() && a.guaranteed == b.guaranteed;
+  }
+
+  /**
+   * Jobs of the same rank first take the machines that hold their images: a fetch keeps room from
+   * everybody. A job that has waited long yields no more, nor do those behind it get ahead of it.
+   */
+  private void fillCached(List<Job> waiting, int from, List<Attempt> made, long now) {
+    for (int i = from; i < waiting.size() && alike(waiting.get(i), waiting.get(from)); i++) {
+      Job job = waiting.get(i);
+      if (job.notBeforeMs > now || job.spec.gang()) {
+        continue;
+      }
+      fill(job, true, made, now);
+      if (!job.pending.isEmpty() && now - job.submittedMs > 1000 * yieldS(job.spec)) {
+        return;
+      }
+    }
+  }
+
+  /** How long a job lets others of its rank pass: without a deadline, as long as it has slack. */
+  private static double yieldS(JobSpec s) {
+    double slack = patience(s) - s.estimateS();
+    return s.dueS() > 0 ? YIELD * slack : slack;
+  }
+
   /** True while any task waits. */
   public boolean anyWaiting() {
     for (Job j : ledger.jobs()) {
@@ -161,6 +203,15 @@
         open[openCount++] = m;
       }
     }
+    // Among machines of one price the fullest come first: what is left stays in one piece, for
+    // large tasks or to go back.
+    Arrays.sort(
+        open,
+        0,
+        openCount,
+        Comparator.comparingDouble((Machine m) -> m.type.cpus())
+            .thenComparingDouble(m -> m.type.price(m.spot))
+            .thenComparingDouble(m -> m.free.cpus));
   }
 
   /** Places waiting tasks of a job on open machines, first-fit, that have its image or have not. */
@@ -304,6 +355,7 @@
         still &= stoppable(a, job, guarantee); // Their team may have given enough by now.
       }
       if (still) {
+        stops += o.victims.size();
         for (Attempt a : o.victims) {
           ledger.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0, now);
         }
