--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -48,6 +48,9 @@
 
   private static final int IDLE_LEAST = 8;
 
+  /** A start later than this is late where machines are cheap. */
+  private static final long LATE_MS = 5_000;
+
   /** A rent must bring a start forward by this much. */
   private static final long WORTH_MS = 5_000;
 
@@ -151,6 +154,7 @@
         slots.add(Slot.of(m, now));
       }
     }
+    int firstComing = slots.size();
     for (Coming c : coming) {
       for (int i = 0; i < c.count; i++) {
         slots.add(new Slot(c.variant, Math.max(now + SOON_MS, c.sinceMs + boot(c.variant))));
@@ -163,7 +167,7 @@
       if (!rentable(types, rented, now)) {
         break; // Nothing can be rented for the others, however late they start.
       }
-      place(queue.get(i), counts[i], slots, types, added, rented, now);
+      place(queue.get(i), counts[i], slots, firstComing, types, added, rented, now);
     }
     return waiting;
   }
@@ -173,6 +177,7 @@
       Job job,
       int count,
       List<Slot> slots,
+      int firstComing,
       List<MachineType> types,
       Object2IntLinkedOpenHashMap<Variant> added,
       int[] rented,
@@ -187,10 +192,41 @@
         starts.add(new Start(at, i));
       }
     }
-    for (int left = count; left > 0; left--) {
+    int fresh = firstComing;
+    int left = count;
+    while (left > 0) {
       Start best = starts.peek();
+      if (best != null) {
+        // A slot that took a task aside has less room than this start supposes.
+        long at = slots.get(best.slot).start(job.spec);
+        if (at != best.at) {
+          starts.poll();
+          if (at < Long.MAX_VALUE) {
+            starts.add(new Start(at, best.slot));
+          }
+          continue;
+        }
+      }
       if (best == null || best.at > now) {
         Variant v = cheapest(job, left, types, added, now);
+        if (v != null && cheap(v, types) && (best == null || best.at > now + LATE_MS)) {
+          // What has to wait although machines are cheap goes to new ones, and leaves the room that
+          // others set free to what comes next: otherwise a lasting burst is always just about to
+          // find room, and nothing is rented for it.
+          while (fresh < slots.size() && !slots.get(fresh).holds(job.spec)) {
+            fresh++;
+          }
+          if (fresh == slots.size() && rented[v.type.index()] < policy.step()) {
+            rented[v.type.index()]++;
+            added.addTo(v, 1);
+            slots.add(new Slot(v, now + boot(v)));
+          }
+          if (fresh < slots.size()) {
+            slots.get(fresh).take(job.spec, slots.get(fresh).at);
+            left--;
+            continue;
+          }
+        }
         if (v != null
             && rented[v.type.index()] < policy.step()
             && worth(job, v, best == null ? Long.MAX_VALUE : best.at, types, now)) {
@@ -205,6 +241,7 @@
       if (best == null) {
         return;
       }
+      left--;
       Slot slot = slots.get(best.slot);
       slot.take(job.spec, best.at);
       long next = slot.start(job.spec);
@@ -296,6 +333,11 @@
       releases.add(i, new Release(time, job));
     }
 
+    /** True when a task has room here without waiting for another to end. */
+    boolean holds(JobSpec s) {
+      return s.allows(variant.type.index(), variant.zone, variant.spot) && room.fits(s);
+    }
+
     /** When a task of the job would have room; the largest long for never. */
     long start(JobSpec s) {
       if (!s.allows(variant.type.index(), variant.zone, variant.spot) || !variant.type.fits(s)) {
--- a/src/test/java/org/mallowroad/core/FleetTest.java
+++ b/src/test/java/org/mallowroad/core/FleetTest.java
@@ -113,6 +113,22 @@
               w.objectives.finished(0, 100);
               assertEquals(LARGE, w.rents(List.of()).get(0).variant().type());
             }),
+        policy(
+            "where machines are cheap, work that is late gets new ones and leaves freed room alone",
+            w -> {
+              w.machine("n-1", SMALL, true);
+              w.job("job-1", 1, 4);
+              w.placement.place(w.now);
+              w.now += 40_000; // 20 s of the estimated 60 are left, less than a boot takes.
+              w.machine("n-1", SMALL, true);
+              w.job("job-2", 2, 4);
+              assertEquals(2, w.rents(List.of()).stream().mapToInt(Fleet.Rent::count).sum());
+              w.now += 16_000;
+              w.machine("n-1", SMALL, true);
+              w.job("job-3", 1, 4);
+              Fleet.Coming two = new Fleet.Coming(new Fleet.Variant(SMALL, 0, true), 2, w.now);
+              assertEquals(1, w.rents(List.of(two)).stream().mapToInt(Fleet.Rent::count).sum());
+            }),
         policy(
             "after a refusal one call shows whether there is room again",
             narrow -> {
