A leader that hears no worker gives the office up; silent machines are not taken for empty

Ruled out: the peers (an announcement needs a new term first), the silence guard (it held: when most are silent nothing is returned as silent; they went back as idle). Now: with machines but no report for 1.5 report times and 2 s the leader deletes its lease and rests for 6 s; machines whose report is overdue do not count as empty; machines unseen since a takeover are returned early only while most others report. ServiceTest has the case; it failed before.

--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -161,6 +161,16 @@
     call(h);
   }
 
+  /** True while there are machines whose workers should report. */
+  boolean anyRunning() {
+    for (Machine m : ledger.machines()) {
+      if (!m.returning && !m.failed) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** The machine reported: it is no longer on its way. */
   void reported(String machine) {
     expected.remove(machine);
@@ -410,7 +420,7 @@
           LOG.info("event=machine_silent machine={} ms={}", m.name, now - m.reportedMs);
           m.returning = true;
         }
-      } else if (now - m.sinceMs > unseenMs) {
+      } else if (now - m.sinceMs > unseenMs && (2 * fresh > usable || now - m.sinceMs > MET_MS)) {
         LOG.info("event=machine_unseen machine={}", m.name);
         m.returning = true;
       }
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -65,6 +65,8 @@
       new Object2ObjectOpenHashMap<>();
   private final WorkerClient workers;
   private final ObjectOpenHashSet<String> holding = new ObjectOpenHashSet<>();
+  private long heardMs;
+  private boolean heard;
   private boolean loaded;
   private boolean acting;
   private boolean stopped;
@@ -92,6 +94,7 @@
     this.onEnd = onEnd;
     this.workers = workers;
     this.startedMs = loop.now();
+    this.heardMs = startedMs;
     this.ledger =
         new Ledger(term, site.settings.leaseS(), site.settings.reportS(), site.teams(), site.zones);
     this.placement = new Placement(ledger);
@@ -443,6 +446,13 @@
     long now = loop.now();
     load.lagMs = Math.max(load.lagMs, now - load.tickedMs - TICK_MS);
     load.tickedMs = now;
+    if (cutFromWorkers(now)) {
+      // Nobody else can end this office: its lease is renewed, and no worker can carry a higher
+      // term to it. Meanwhile the workers' leases run out at the nodes that send them here.
+      LOG.warn("event=workers_not_heard term={} ms={}", term, now - heardMs);
+      election.resign();
+      return;
+    }
     if (!acting && now - startedMs > (long) (site.settings.reportS() * 1250) + 500) {
       acting = true;
       LOG.info("event=acting term={} machines={}", term, ledger.machines().size());
@@ -534,6 +544,14 @@
     }
   }
 
+  /** True when there are machines and not one of them has reported for over a report's time. */
+  private boolean cutFromWorkers(long now) {
+    double reports = heard ? 1.5 : 4;
+    return site.settings.nodes() > 1
+        && now - heardMs > (long) (reports * site.settings.reportS() * 1000) + 2_000
+        && fleet.anyRunning();
+  }
+
   /** True when this leader must stop renewing worker leases. */
   private boolean deaf() {
     return loop.now() - Math.max(election.renewedMs(), state.contactMs()) > deafMs;
@@ -550,6 +568,8 @@
 
   /** Answers a report: null in place of orders means that this node must not answer for now. */
   void report(WorkerReport r, Consumer<ObjectNode> reply) {
+    heard = true;
+    heardMs = loop.now();
     if (deaf()) {
       reply.accept(null);
       return;
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -472,7 +472,8 @@
     double cpus = 0;
     int n = 0;
     for (Machine m : ledger.machines()) {
-      if (!m.usable()) {
+      // Of a machine whose report is overdue nothing is known, least of all that it is empty.
+      if (!ledger.takesWork(m, now)) {
         continue;
       }
       n++;
@@ -493,7 +494,7 @@
     if (excess > empty.size()) {
       empty.clear();
       for (Machine m : ledger.machines()) {
-        if (m.usable() && m.empty() && now - m.emptySinceMs >= SOON_MS) {
+        if (ledger.takesWork(m, now) && m.empty() && now - m.emptySinceMs >= SOON_MS) {
           empty.add(m);
         }
       }
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -26,6 +26,9 @@
   private static final long RENEW_TIMEOUT_MS = 1_000;
   private static final long WATCH_MS = 10_000;
 
+  /** After it gave the office up, a node lets the others have it first. */
+  private static final long REST_MS = 6_000;
+
   private final Loop loop;
   private final StateStore state;
   private final String node;
@@ -41,6 +44,7 @@
   private boolean campaigning;
   private boolean renewing;
   private long renewedMs;
+  private long restUntilMs = Long.MIN_VALUE;
   private Loop.Timer renewal;
 
   /** Told of this node's own office. */
@@ -148,7 +152,7 @@
   }
 
   private void campaign() {
-    if (leading || campaigning) {
+    if (leading || campaigning || loop.now() < restUntilMs) {
       return;
     }
     campaigning = true;
@@ -256,6 +260,17 @@
         });
   }
 
+  /** Gives the office up although its lease holds: another node may serve better. */
+  public void resign() {
+    if (!leading) {
+      return;
+    }
+    long of = lease;
+    restUntilMs = loop.now() + REST_MS;
+    stepDown();
+    state.release(of);
+  }
+
   /** Gives the office up: a write failed on the leader's mark, or a higher term showed. */
   public void stepDown() {
     if (!leading) {
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -226,6 +226,11 @@
     lease(Methods.POST, "/leases/" + lease + "/extend", new byte[] {'{', '}'}, timeoutMs, leased);
   }
 
+  /** Ends a lease at once; without an answer it runs out by itself. */
+  public void release(long lease) {
+    lease(Methods.DELETE, "/leases/" + lease, null, TIMEOUT_MS, (result, id) -> {});
+  }
+
   private void lease(HttpString method, String path, byte[] body, long timeoutMs, Leased leased) {
     caller.call(
         method,
--- a/src/test/java/org/mallowroad/controller/CloudStandIn.java
+++ b/src/test/java/org/mallowroad/controller/CloudStandIn.java
@@ -40,6 +40,9 @@
   /** While true every answer is 200 with something that is not JSON. */
   volatile boolean garbled;
 
+  /** The controller that no worker reaches, or -1. */
+  volatile int cutFrom = -1;
+
   volatile int taskMs = 300;
 
   CloudStandIn(List<String> controllers) throws IOException {
@@ -164,6 +167,9 @@
         try {
           Thread.sleep(100);
           work();
+          if (at == cutFrom) {
+            at = (at + 1) % controllers.size();
+          }
           HttpResponse<byte[]> r =
               http.send(
                   HttpRequest.newBuilder(URI.create("http://" + controllers.get(at) + "/v1/report"))
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -51,6 +51,10 @@
           site = "a"
           listen = "%s"
           peer_listen = "127.0.0.1:0"
+          [[members]]
+          node_name = "elsewhere"
+          site = "b"
+          endpoint = "127.0.0.1:1"
           [outside]
           cloud = "127.0.0.1:%d"
           state = "127.0.0.1:%d"
@@ -183,6 +187,18 @@
     assertEquals(0, cloud.ranTwice);
   }
 
+  @Test
+  void aLeaderThatHearsNoWorkerGivesTheOfficeUp() throws Exception {
+    cloud.taskMs = 800;
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 6, 1)));
+    await("running tasks", () -> !cloud.running.isEmpty());
+    String first = state.leader();
+    cloud.cutFrom = Integer.parseInt(first.substring(1));
+    await("another leader", () -> state.leader() != null && !state.leader().equals(first));
+    await("end of the job", () -> is("job-000001", "done"));
+    assertEquals(0, cloud.ranTwice);
+  }
+
   @Test
   void garbledAnswersAreSurvived() throws Exception {
     state.garbled = true;
--- a/src/test/java/org/mallowroad/controller/StateStandIn.java
+++ b/src/test/java/org/mallowroad/controller/StateStandIn.java
@@ -223,6 +223,8 @@
         long[] l = leases.get(id);
         if (l == null) {
           status = 404;
+        } else if (x.getRequestMethod().equals("DELETE")) {
+          leases.remove(id);
         } else {
           l[1] = System.currentTimeMillis() + l[0];
           o.put("tenure", id);
--- a/src/test/java/org/mallowroad/core/FleetTest.java
+++ b/src/test/java/org/mallowroad/core/FleetTest.java
@@ -170,6 +170,9 @@
               w.machine("n-1", SMALL, true);
               Machine large = w.machine("n-2", LARGE, false);
               w.now += 60_000;
+              assertEquals(List.of(), w.fleet.returns(false, w.now)); // Not heard for too long.
+              w.machine("n-1", SMALL, true);
+              w.machine("n-2", LARGE, false);
               List<Machine> back = w.fleet.returns(false, w.now);
               assertEquals(large, back.get(0));
             }),
@@ -181,6 +184,8 @@
               Job j = w.job("job-1", 1, 4);
               w.ledger.start(j, 0, busy, w.now);
               w.now += 60_000;
+              w.machine("n-1", SMALL, true);
+              w.machine("n-2", SMALL, true);
               assertEquals(List.of(), w.fleet.returns(false, w.now));
               assertTrue(idle.usable());
             }));
