--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -161,14 +161,15 @@
     call(h);
   }
 
-  /** True while there are machines whose workers should report. */
-  boolean anyRunning() {
+  /** Machines whose workers should report. */
+  int running() {
+    int n = 0;
     for (Machine m : ledger.machines()) {
       if (!m.returning && !m.failed) {
-        return true;
+        n++;
       }
     }
-    return false;
+    return n;
   }
 
   /** The machine reported: it is no longer on its way. */
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -47,6 +47,7 @@
   private static final long WATCH_MS = 10_000;
   private static final long TICK_MS = 250;
   private static final long LOAD_MS = 10_000;
+  private static final int FEW_MACHINES = 8;
 
   private final Loop loop;
   private final StateStore state;
@@ -544,12 +545,16 @@
     }
   }
 
-  /** True when there are machines and not one of them has reported for over a report's time. */
+  /**
+   * True when there are machines and not one of them has reported for over a report's time. Where
+   * none ever did in this term, a handful may rather all be dead: then the office is kept until
+   * they are returned, or their tasks would never be proven gone.
+   */
   private boolean cutFromWorkers(long now) {
-    double reports = heard ? 1.5 : 4;
+    double reports = heard ? 1.5 : 3;
     return site.settings.nodes() > 1
         && now - heardMs > (long) (reports * site.settings.reportS() * 1000) + 2_000
-        && fleet.anyRunning();
+        && fleet.running() > (heard ? 0 : FEW_MACHINES);
   }
 
   /** True when this leader must stop renewing worker leases. */
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -209,6 +209,9 @@
       gauge(
           "mallowroad.records.uncommitted",
           n -> n.leader == null ? 0 : n.leader.ledger().dirty().size());
+      gauge(
+          "mallowroad.records.urgent",
+          n -> n.leader == null ? 0 : n.leader.ledger().urgent().size());
       gauge(
           "mallowroad.tasks.completed", n -> n.leader == null ? 0 : n.leader.ledger().completed());
       gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -72,15 +71,7 @@
     }
 
     void commit() {
-      for (Chunk c : new ArrayList<>(ledger.dirty())) {
-        List<Attempt> recorded = new ArrayList<>();
-        for (int t = c.from(); t < c.to(); t++) {
-          if (c.job.live(t) != null) {
-            recorded.add(c.job.live(t));
-          }
-        }
-        ledger.committed(c, 9, c.changes, recorded, now);
-      }
+      Specs.commit(ledger, now);
     }
 
     static WorkerReport.Entry entry(Attempt a, State state, String why) {
--- a/src/test/java/org/mallowroad/core/ScaleTest.java
+++ b/src/test/java/org/mallowroad/core/ScaleTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -56,15 +55,7 @@
     }
 
     void commit() {
-      for (Chunk c : new ArrayList<>(ledger.dirty())) {
-        List<Attempt> recorded = new ArrayList<>();
-        for (int t = c.from(); t < c.to(); t++) {
-          if (c.job.live(t) != null) {
-            recorded.add(c.job.live(t));
-          }
-        }
-        ledger.committed(c, 9, c.changes, recorded, now);
-      }
+      Specs.commit(ledger, now);
     }
   }
 
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -1,5 +1,8 @@
 package org.mallowroad.core;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Builds job specs for the tables. */
 public final class Specs {
   private final String id;
@@ -91,4 +94,17 @@
         0,
         1_000);
   }
+
+  /** Commits all that is dirty, with every start in it. */
+  static void commit(Ledger ledger, long now) {
+    for (Chunk c : new ArrayList<>(ledger.dirty())) {
+      List<Attempt> recorded = new ArrayList<>();
+      for (int t = c.from(); t < c.to(); t++) {
+        if (c.job.live(t) != null) {
+          recorded.add(c.job.live(t));
+        }
+      }
+      ledger.committed(c, 9, c.changes, recorded, now);
+    }
+  }
 }
