--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -37,8 +38,10 @@
   @BeforeEach
   void start() throws Exception {
     List<String> listen = new ArrayList<>();
+    int port = 21_000;
     for (int i = 0; i < 3; i++) {
-      listen.add("127.0.0.1:" + freePort());
+      port = freePort(port + 1);
+      listen.add("127.0.0.1:" + port);
     }
     state = new StateStandIn();
     cloud = new CloudStandIn(listen);
@@ -94,10 +97,19 @@
     state.close();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0)) {
-      return s.getLocalPort();
+  /**
+   * The first free port from a number on that no outgoing connection is given: a port that the
+   * system picks may be taken by one before the node listens on it.
+   */
+  private static int freePort(int from) throws IOException {
+    for (int port = from; port < 31_000; port++) {
+      try (ServerSocket s = new ServerSocket(port)) {
+        return s.getLocalPort();
+      } catch (BindException e) {
+        continue;
+      }
     }
+    throw new IOException("no free port");
   }
 
   private static void await(String what, BooleanSupplier until) throws InterruptedException {
