--- a/src/main/java/org/mallowroad/cli/Main.java
+++ b/src/main/java/org/mallowroad/cli/Main.java
@@ -1,5 +1,6 @@
 package org.mallowroad.cli;
 
+import java.util.List;
 import org.mallowroad.config.BadSettings;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
@@ -7,31 +8,15 @@
 import org.mallowroad.controller.Site;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.IExecutionStrategy;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
 import picocli.CommandLine.Option;
 
 /** The command line; without a subcommand it serves. */
-@Command(
-    name = "mallowroad",
-    description = "A cluster scheduler that rents its machines. Without a command it serves.",
-    subcommands = {
-      Main.CheckConfig.class,
-      Remote.Submit.class,
-      Remote.Show.class,
-      Remote.Withdraw.class,
-      Remote.Status.class,
-      Rehearse.class
-    },
-    mixinStandardHelpOptions = true,
-    version = "mallowroad 0.1.0")
-public final class Main implements java.util.concurrent.Callable<Integer> {
-  @Option(names = "--config", paramLabel = "FILE", description = "The platform's settings (TOML).")
-  private String config;
-
-  @Option(
-      names = "--operator",
-      paramLabel = "FILE",
-      description = "The operators' own settings (XML).")
-  private String operator;
+public final class Main {
+  private static final String CONFIG = "--config";
+  private static final String OPERATOR = "--operator";
 
   private Main() {}
 
@@ -47,15 +32,65 @@
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     System.setProperty("org.jboss.logging.provider", "slf4j");
-    int code = new CommandLine(new Main()).execute(args);
-    if (code != 0 || !served(args)) {
+    // What a start on a fraction of a core would pay for and nobody uses, a fifth of it as measured
+    // (docs/results.md): the beans that XNIO and its executor register, with the whole management
+    // server for them, and the tables of all locales.
+    System.setProperty("javax.management.builder.initial", "none");
+    System.setProperty("jboss.threads.eqe.register-mbean", "false");
+    System.setProperty("java.locale.providers", "COMPAT");
+    boolean serves =
+        args.length > 0 && List.of(CONFIG, OPERATOR).contains(args[0].split("=", 2)[0]);
+    int code = line(serves).execute(args);
+    if (code != 0 || !serves) {
       System.exit(code);
     }
   }
 
-  /** Only the command that serves leaves its threads running. */
-  private static boolean served(String[] args) {
-    return args.length > 0 && (args[0].startsWith("--config") || args[0].startsWith("--operator"));
+  /**
+   * The command that serves is put together here, and the others left out of it: reading their
+   * annotations is a good part of a start.
+   */
+  private static CommandLine line(boolean serves) {
+    CommandSpec spec = CommandSpec.create().name("mallowroad").version("mallowroad 0.1.0");
+    spec.usageMessage()
+        .description("A cluster scheduler that rents its machines. Without a command it serves.");
+    spec.addOption(file(CONFIG, "The platform's settings (TOML)."));
+    spec.addOption(file(OPERATOR, "The operators' own settings (XML)."));
+    spec.addOption(
+        OptionSpec.builder("-h", "--help")
+            .usageHelp(true)
+            .description("Show this help message and exit.")
+            .build());
+    spec.addOption(
+        OptionSpec.builder("-V", "--version")
+            .versionHelp(true)
+            .description("Print version information and exit.")
+            .build());
+    CommandLine line = new CommandLine(spec);
+    if (!serves) {
+      line.addSubcommand(new CheckConfig())
+          .addSubcommand(new Remote.Submit())
+          .addSubcommand(new Remote.Show())
+          .addSubcommand(new Remote.Withdraw())
+          .addSubcommand(new Remote.Status())
+          .addSubcommand(new Rehearse());
+    }
+    IExecutionStrategy others = new CommandLine.RunLast();
+    return line.setExecutionStrategy(
+        r -> {
+          if (r.hasSubcommand() || r.isUsageHelpRequested() || r.isVersionHelpRequested()) {
+            return others.execute(r);
+          }
+          return serve(r.matchedOptionValue(CONFIG, null), r.matchedOptionValue(OPERATOR, null));
+        });
+  }
+
+  private static OptionSpec file(String name, String description) {
+    return OptionSpec.builder(name)
+        .paramLabel("FILE")
+        .type(String.class)
+        .description(description)
+        .build();
   }
 
   /** Checks settings files without starting. */
@@ -86,8 +121,7 @@
     }
   }
 
-  @Override
-  public Integer call() throws Exception {
+  private static int serve(String config, String operator) {
     if (config == null) {
       System.err.println("mallowroad: --config FILE is needed");
       return 2;
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -10,6 +10,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
@@ -142,6 +143,22 @@
     LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
   }
 
+  /** Where users and workers reach this node once it has started. */
+  public String address() {
+    return bound(0);
+  }
+
+  /** Where the other controllers reach this node once it has started. */
+  public String peerAddress() {
+    return bound(1);
+  }
+
+  /** The listeners in the order in which they were added; a port 0 in the settings is any port. */
+  private String bound(int listener) {
+    InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(listener).getAddress();
+    return a.getHostString() + ":" + a.getPort();
+  }
+
   /** Ends all duties and connections. */
   public void stop() {
     loop.soon(
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.BindException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -37,13 +35,8 @@
 
   @BeforeEach
   void start() throws Exception {
-    List<String> listen = new ArrayList<>();
-    int port = 21_000;
-    for (int i = 0; i < 3; i++) {
-      port = freePort(port + 1);
-      listen.add("127.0.0.1:" + port);
-    }
     state = new StateStandIn();
+    List<String> listen = new ArrayList<>();
     cloud = new CloudStandIn(listen);
     for (int i = 0; i < 3; i++) {
       Path f = dir.resolve("n" + i + ".toml");
@@ -52,7 +45,7 @@
           """
           node_name = "n%d"
           site = "a"
-          listen = "%s"
+          listen = "127.0.0.1:0"
           peer_listen = "127.0.0.1:0"
           [[members]]
           node_name = "elsewhere"
@@ -79,11 +72,13 @@
           [params.cloud]
           rps = 100.0
           """
-              .formatted(i, listen.get(i), cloud.port(), state.port()));
+              .formatted(i, cloud.port(), state.port()));
       Node n = new Node(new Site(Settings.load(f.toString()), OperatorSettings.defaults()));
       n.start();
       nodes.put("n" + i, n);
-      addresses.put("n" + i, listen.get(i));
+      // Any port that is free when the node listens: one that is picked before may be lost again.
+      listen.add(n.address());
+      addresses.put("n" + i, n.address());
     }
     await(
         "a leader and machine types",
@@ -97,21 +92,6 @@
     state.close();
   }
 
-  /**
-   * The first free port from a number on that no outgoing connection is given: a port that the
-   * system picks may be taken by one before the node listens on it.
-   */
-  private static int freePort(int from) throws IOException {
-    for (int port = from; port < 31_000; port++) {
-      try (ServerSocket s = new ServerSocket(port)) {
-        return s.getLocalPort();
-      } catch (BindException e) {
-        continue;
-      }
-    }
-    throw new IOException("no free port");
-  }
-
   private static void await(String what, BooleanSupplier until) throws InterruptedException {
     long end = System.nanoTime() + 40_000_000_000L;
     while (!until.getAsBoolean()) {
