What a process keeps is bounded, table by table; slow bodies are bounded in bytes and time

A caller that was closed kept the connection of a call in flight. KeptTest plays 40 days of 600 jobs and 300 machines: 10,000 deleted machines and less than 2,000 names are left. ServiceTest holds 60 slow bodies: 32 are read, 28 get 503 at once, reports and questions are answered. The process's memory, heap and the collector's share are metrics. ram_mb of the platform's settings sets the bounds.

--- a/src/main/java/org/mallowroad/api/Door.java
+++ b/src/main/java/org/mallowroad/api/Door.java
@@ -2,27 +2,25 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.mallowroad.worker.ReportApi;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Routes requests; all answers are given on the one loop. */
 public final class Door implements HttpHandler {
-  private static final Logger LOG = LoggerFactory.getLogger(Door.class);
   private static final String JOBS = "/v1/jobs";
 
+  /** The largest body that is read. */
+  public static final int MOST_BODY = Intake.MOST_BODY;
+
   private final Users users;
   private final ReportApi workers;
   private final Supplier<Boolean> healthy;
   private final Supplier<String> metrics;
+  private final Intake reports;
+  private final Intake submissions;
 
   /** Serves what users ask, here or through a peer. */
   @FunctionalInterface
@@ -31,8 +29,18 @@
     void serve(String method, String path, byte[] body, Answerer answerer);
   }
 
-  /** Over the parties' handlers. */
-  public Door(Users users, ReportApi workers, Supplier<Boolean> healthy, Supplier<String> metrics) {
+  /**
+   * Over the parties' handlers; the bodies in hand of users, and those of workers, take {@code
+   * mostBytes} together.
+   */
+  public Door(
+      Users users,
+      ReportApi workers,
+      Supplier<Boolean> healthy,
+      Supplier<String> metrics,
+      long mostBytes) {
+    this.reports = new Intake(mostBytes);
+    this.submissions = new Intake(mostBytes);
     this.users = users;
     this.workers = workers;
     this.healthy = healthy;
@@ -44,22 +52,22 @@
     String path = x.getRequestPath();
     if (path.equals("/v1/report")) {
       if (allowed(x, true)) {
-        body(x, workers::report);
+        reports.read(x, workers::report);
       }
     } else if (path.equals(JOBS)) {
       if (allowed(x, true)) {
-        body(x, this::serve);
+        submissions.read(x, this::serve);
       }
     } else if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
       int slash = rest.indexOf('/');
       if (slash < 0) {
         if (allowed(x, false)) {
-          async(x, e -> serve(e, new byte[0]));
+          Intake.async(x, () -> serve(x, new byte[0]));
         }
       } else if (rest.substring(slash).equals("/withdraw")) {
         if (allowed(x, true)) {
-          body(x, this::serve);
+          submissions.read(x, this::serve);
         }
       } else {
         Reply.error(x, 404, "no such path");
@@ -82,6 +90,11 @@
     }
   }
 
+  /** Bytes of the bodies in hand, by what was announced. */
+  public long bytes() {
+    return reports.bytes() + submissions.bytes();
+  }
+
   private void serve(HttpServerExchange x, byte[] body) {
     users.serve(x.getRequestMethod().toString(), x.getRequestPath(), body, Reply.over(x));
   }
@@ -93,32 +106,4 @@
     Reply.error(x, 405, "method not allowed");
     return false;
   }
-
-  /** Lets the answer come after this handler returned. */
-  private static void async(HttpServerExchange x, Consumer<HttpServerExchange> handler) {
-    x.dispatch(
-        SameThreadExecutor.INSTANCE,
-        () -> {
-          try {
-            handler.accept(x);
-          } catch (RuntimeException e) {
-            LOG.error("event=request_failed path={}", x.getRequestPath(), e);
-            Reply.error(x, 500, "internal error");
-          }
-        });
-  }
-
-  private static void body(HttpServerExchange x, BiConsumer<HttpServerExchange, byte[]> handler) {
-    x.getRequestReceiver()
-        .receiveFullBytes(
-            (e, bytes) -> async(e, y -> handler.accept(y, bytes)),
-            (e, error) -> {
-              e.setPersistent(false);
-              if (error instanceof RequestTooBigException) {
-                Reply.error(e, 413, "the body is too large");
-              } else {
-                Reply.error(e, 400, "the body cannot be read");
-              }
-            });
-  }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/api/Intake.java
@@ -0,0 +1,88 @@
+package org.mallowroad.api;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.SameThreadExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+
+/**
+ * Reads bodies of one kind of asker, within a bound of bytes and time. Sockets alone bound nothing:
+ * each could hold a body that comes slowly. So what is in hand is counted by what was announced,
+ * and what is beyond the bound is told at once to come back.
+ */
+final class Intake {
+  /** The largest body that the protocol allows. */
+  static final int MOST_BODY = 64 * 1024;
+
+  /** A body that takes longer makes room for others: every asker has given up by then. */
+  private static final long MOST_S = 8;
+
+  private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
+
+  private final long most;
+  private long bytes;
+
+  /** For bodies that take {@code most} bytes together. */
+  Intake(long most) {
+    this.most = most;
+  }
+
+  /** Bytes in hand, by what was announced. */
+  long bytes() {
+    return bytes;
+  }
+
+  /** Reads the body and hands it on; the answer may come after the handler returned. */
+  void read(HttpServerExchange x, BiConsumer<HttpServerExchange, byte[]> handler) {
+    long announced = x.getRequestContentLength();
+    long length = announced < 0 || announced > MOST_BODY ? MOST_BODY : announced;
+    if (bytes + length > most) {
+      x.setPersistent(false);
+      Reply.later(x, "too many bodies at once");
+      return;
+    }
+    bytes += length;
+    x.addExchangeCompleteListener(
+        (e, next) -> {
+          bytes -= length;
+          next.proceed();
+        });
+    XnioExecutor.Key late =
+        x.getIoThread()
+            .executeAfter(() -> IoUtils.safeClose(x.getConnection()), MOST_S, TimeUnit.SECONDS);
+    x.getRequestReceiver()
+        .receiveFullBytes(
+            (e, body) -> {
+              late.remove();
+              async(e, () -> handler.accept(e, body));
+            },
+            (e, error) -> {
+              late.remove();
+              e.setPersistent(false);
+              if (error instanceof RequestTooBigException) {
+                Reply.error(e, 413, "the body is too large");
+              } else {
+                Reply.error(e, 400, "the body cannot be read");
+              }
+            });
+  }
+
+  /** Lets the answer come after the caller returned. */
+  static void async(HttpServerExchange x, Runnable handler) {
+    x.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () -> {
+          try {
+            handler.run();
+          } catch (RuntimeException e) {
+            LOG.error("event=request_failed path={}", x.getRequestPath(), e);
+            Reply.error(x, 500, "internal error");
+          }
+        });
+  }
+}
--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -20,7 +20,6 @@
  */
 public final class UserApi {
   private static final String JOBS = "/v1/jobs";
-  private static final int FINALS = 100_000;
 
   private final Loop loop;
   private final StateStore state;
@@ -28,6 +27,7 @@
   private final Budget writes;
   private final Jobs jobs;
   private final double valueKb;
+  private final int mostEnds;
 
   /** True for done, false for withdrawn: final states never change, so they may be kept. */
   private final Object2BooleanLinkedOpenHashMap<String> finals =
@@ -35,8 +35,8 @@
 
   /** What the node knows besides the state service. */
   public interface Jobs {
-    /** Decodes a submission. */
-    JobSpec decode(JsonNode submission, long nowMs) throws BadMessage;
+    /** Decodes a submission only to judge it. */
+    JobSpec check(JsonNode submission) throws BadMessage;
 
     /** True once the machine types are known. */
     boolean ready();
@@ -50,23 +50,35 @@
 
   /** Over the state service. */
   public UserApi(
-      Loop loop, StateStore state, Budget reads, Budget writes, Jobs jobs, double valueKb) {
+      Loop loop,
+      StateStore state,
+      Budget reads,
+      Budget writes,
+      Jobs jobs,
+      double valueKb,
+      int mostEnds) {
     this.reads = reads;
     this.loop = loop;
     this.state = state;
     this.writes = writes;
     this.jobs = jobs;
     this.valueKb = valueKb;
+    this.mostEnds = mostEnds;
   }
 
   /** A job's end became known. */
   public void ended(String id, boolean done) {
     finals.putAndMoveToLast(id, done);
-    if (finals.size() > FINALS) {
+    if (finals.size() > mostEnds) {
       finals.removeFirstBoolean();
     }
   }
 
+  /** How many ends of jobs are remembered. */
+  public int ends() {
+    return finals.size();
+  }
+
   /** Serves a request whose path and method the door has checked. */
   public void serve(String method, String path, byte[] body, Answerer x) {
     String rest = path.length() > JOBS.length() ? path.substring(JOBS.length() + 1) : "";
@@ -87,7 +99,7 @@
     ObjectNode value;
     try {
       o = Json.parseObject(body);
-      spec = jobs.decode(o, System.currentTimeMillis());
+      spec = jobs.check(o);
       value = Records.openValue(o, System.currentTimeMillis());
       if (Json.bytes(value).length > valueKb * 1024 - 64) {
         throw new BadMessage("the submission is too large");
--- a/src/main/java/org/mallowroad/config/Settings.java
+++ b/src/main/java/org/mallowroad/config/Settings.java
@@ -30,6 +30,7 @@
     double cloudRps,
     double listLagS,
     int maxSockets,
+    double ramMb,
     int nodes) {
 
   /** Host and port. */
@@ -127,6 +128,7 @@
           resources.has("max_sockets")
               ? (int) positive(resources, "max_sockets", "params.resources.max_sockets")
               : 1000,
+          resources.has("ram_mb") ? positive(resources, "ram_mb", "params.resources.ram_mb") : 256,
           members.size() + 1);
     }
 
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -633,7 +633,7 @@
       }
       LOG.info(
           "event=load lag_ms={} reports={} direct={} passes={} pass_ms={} stops={} commits={} writes={}"
-              + " dirty={} urgent={} jobs={} waiting={} live={} machines={}",
+              + " dirty={} urgent={} jobs={} waiting={} live={} machines={} heap_mb={} memory_mb={}",
           lagMs,
           reports,
           direct,
@@ -647,7 +647,10 @@
           ledger.jobs().size(),
           waiting,
           live,
-          ledger.machines().size());
+          ledger.machines().size(),
+          Memory.heapBytes() >> 20,
+          Memory.processBytes() >> 20);
+      site.keepNames(ledger);
       lastLagMs = lagMs;
       lagMs = 0;
       reports = 0;
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -42,7 +42,9 @@
 /** One controller: listens, takes part in the election and, while elected, leads. */
 public final class Node {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-  private static final int MAX_BODY = 64 * 1024;
+
+  /** Ended jobs remembered for each MB of memory: at about 120 bytes each, a twentieth of it. */
+  private static final int ENDS_PER_MB = 400;
 
   private final Site site;
   private final XnioWorker worker;
@@ -54,6 +56,7 @@
   private final UserApi users;
   private final ReportApi reports;
   private final Peers peers;
+  private final Door door;
   private final Undertow server;
   private Leader leader;
   private PrometheusMeterRegistry registry;
@@ -74,16 +77,19 @@
     this.loop = new Loop(worker.getIoThread());
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 0);
     String json = "application/json";
+    // What all bodies that are being read may hold together, and the largest answer of an outside
+    // service: each a small part of the memory, so that even all at once stay clear of its end.
+    int ram = (int) (s.ramMb() * 1024 * 1024);
     this.state =
         new StateStore(
             loop,
-            new HttpCaller(loop, buffers, s.state(), json, 32),
-            new HttpCaller(loop, buffers, s.state(), json, 8));
+            new HttpCaller(loop, buffers, s.state(), json, 32, ram / 8),
+            new HttpCaller(loop, buffers, s.state(), json, 8, ram / 8));
     long now = loop.now();
     this.cloud =
         new CloudApi(
             loop,
-            new HttpCaller(loop, buffers, s.cloud(), json, 8),
+            new HttpCaller(loop, buffers, s.cloud(), json, 8, ram / 8),
             new Budget(s.cloudRps() * 0.8, s.cloudRps(), now),
             site.types,
             site.zones);
@@ -95,18 +101,19 @@
             new Budget(s.stateRps() * 0.8 / s.nodes(), s.stateRps() * 0.8 / s.nodes(), now),
             new Budget(s.stateWriteRps() * 0.4 / s.nodes(), s.stateWriteRps() * 0.6, now),
             new NodeJobs(),
-            s.valueKb());
+            s.valueKb(),
+            (int) (s.ramMb() * ENDS_PER_MB));
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
     this.reports = new ReportApi(new NodeReports());
     this.peers = new Peers(loop, buffers, s.members(), new NodePeers());
-    Door door = new Door(this::serve, reports, this::healthy, this::metrics);
+    this.door = new Door(this::serve, reports, this::healthy, this::metrics, ram / 16);
     this.server =
         Undertow.builder()
             .setWorker(worker)
             .setByteBufferPool(buffers)
             .addHttpListener(s.listen().port(), s.listen().host(), door)
             .addHttpListener(s.peerListen().port(), s.peerListen().host(), peers)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Door.MOST_BODY)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
@@ -237,10 +244,25 @@
       gauge("mallowroad.garbled.cloud", n -> n.cloud.wrong());
       gauge("mallowroad.garbled.peers", n -> n.peers.wrong());
       gauge("mallowroad.garbled.workers", n -> n.reports.wrong());
+      memory();
     }
     return registry.scrape();
   }
 
+  /**
+   * The process's memory as the system counts it, and what of it are the heap and the collector.
+   */
+  private void memory() {
+    gauge("mallowroad.memory.limit.bytes", n -> n.site.settings().ramMb() * 1024 * 1024);
+    gauge("mallowroad.memory.process.bytes", n -> Memory.processBytes());
+    gauge("mallowroad.memory.heap.bytes", n -> Memory.heapBytes());
+    gauge("mallowroad.collector.share", n -> Memory.collectorShare());
+    gauge("mallowroad.bodies.bytes", n -> n.door.bytes());
+    gauge("mallowroad.kept.ends", n -> n.users.ends());
+    gauge("mallowroad.kept.names", n -> n.site.names());
+    gauge("mallowroad.kept.callers", n -> n.workers.kept());
+  }
+
   private void gauge(String name, java.util.function.ToDoubleFunction<Node> f) {
     Gauge.builder(name, this, f).register(registry);
   }
@@ -275,8 +297,8 @@
 
   private final class NodeJobs implements UserApi.Jobs {
     @Override
-    public JobSpec decode(JsonNode submission, long nowMs) throws BadMessage {
-      return site.codec.decode(submission, nowMs);
+    public JobSpec check(JsonNode submission) throws BadMessage {
+      return site.codec.check(submission);
     }
 
     @Override
--- a/src/main/java/org/mallowroad/controller/Site.java
+++ b/src/main/java/org/mallowroad/controller/Site.java
@@ -1,10 +1,12 @@
 package org.mallowroad.controller;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
 import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
 import org.mallowroad.core.MachineType;
 import org.mallowroad.core.Names;
 import org.mallowroad.core.Objectives;
@@ -13,13 +15,19 @@
 
 /** What a node knows of its deployment: names as indices, machine types, teams. */
 public final class Site {
+  /** More names than this, and those that nothing uses any more are forgotten. */
+  static final int MOST_NAMES = 2_000;
+
   final Settings settings;
   final OperatorSettings operator;
   final Names zones = new Names();
   final Names types = new Names();
   final Names teamNames = new Names();
+  final Names images = new Names();
+  final Names classes = new Names();
   final JobCodec codec;
   final Objectives objectives = new Objectives();
+  private final int ownClasses;
   private List<MachineType> machineTypes = List.of();
 
   /** From the settings. */
@@ -28,8 +36,7 @@
     this.operator = operator;
     settings.zones().forEach(zones::intern);
     settings.teams().forEach(t -> teamNames.intern(t.name()));
-    Names classes = new Names();
-    codec = new JobCodec(teamNames, zones, types, new Names(), classes);
+    codec = new JobCodec(teamNames, zones, types, images, classes);
     for (Settings.Objective o : settings.objectives()) {
       switch (o.kind()) {
         case "finished" -> objectives.finished(classes.intern(o.taskClass()), o.withinS());
@@ -39,6 +46,31 @@
         default -> {} // Kinds that do not concern starting or finishing.
       }
     }
+    ownClasses = classes.size();
+  }
+
+  /** How many names users have made up are known, with those of the settings and the cloud. */
+  int names() {
+    return images.size() + classes.size() + types.size();
+  }
+
+  /**
+   * Forgets the names of images, classes and types that no job and no machine of the ledger has any
+   * more, nor the settings, nor the cloud.
+   */
+  void keepNames(Ledger ledger) {
+    if (names() < MOST_NAMES) {
+      return;
+    }
+    BitSet usedImages = new BitSet();
+    BitSet usedClasses = new BitSet();
+    BitSet usedTypes = new BitSet();
+    usedClasses.set(0, ownClasses);
+    machineTypes.forEach(t -> usedTypes.set(t.index()));
+    ledger.names(usedImages, usedClasses, usedTypes);
+    images.keep(usedImages);
+    classes.keep(usedClasses);
+    types.keep(usedTypes);
   }
 
   /** Decodes submissions. */
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Jobs, attempts and machines of one leader's term, and the sole answer to "may this task start?".
@@ -53,6 +55,12 @@
 
   private static final long FENCE_MS = 8_000;
 
+  /**
+   * Deleted machines that are remembered: reports and lists that still have them come minutes late
+   * at the most. One that came later yet would be met as an unexpected machine and returned.
+   */
+  static final int MOST_GONE = 10_000;
+
   private final long term;
   private final long leaseMs;
   private final long freshMs;
@@ -62,7 +70,7 @@
       new Object2ObjectLinkedOpenHashMap<>();
   private final Object2ObjectLinkedOpenHashMap<String, Machine> machines =
       new Object2ObjectLinkedOpenHashMap<>();
-  private final ObjectOpenHashSet<String> gone = new ObjectOpenHashSet<>();
+  private final ObjectLinkedOpenHashSet<String> gone = new ObjectLinkedOpenHashSet<>();
   private final ObjectLinkedOpenHashSet<Chunk> dirty = new ObjectLinkedOpenHashSet<>();
 
   /** The dirty records for which starts wait, in the order in which they were placed. */
@@ -115,6 +123,34 @@
     return gone.contains(machine);
   }
 
+  /** How many entries each table holds: what an operator looks at when memory grows. */
+  public Map<String, Integer> tables() {
+    Map<String, Integer> sizes = new LinkedHashMap<>();
+    sizes.put("jobs", jobs.size());
+    sizes.put("machines", machines.size());
+    sizes.put("gone", gone.size());
+    sizes.put("dirty", dirty.size());
+    sizes.put("urgent", urgent.size());
+    sizes.put("outbox", outbox.size());
+    sizes.put("ending", ending.size());
+    return sizes;
+  }
+
+  /** Marks the names that jobs and machines have. */
+  public void names(BitSet images, BitSet classes, BitSet types) {
+    for (Job j : jobs.values()) {
+      images.set(j.spec.image());
+      classes.set(j.spec.taskClass());
+      if (j.spec.types() != null) {
+        types.or(j.spec.types());
+      }
+    }
+    for (Machine m : machines.values()) {
+      types.set(m.type.index());
+      m.images.keySet().forEach(images::set);
+    }
+  }
+
   /** The team of a job. */
   public Team team(JobSpec spec) {
     return teams.get(spec.team());
@@ -424,14 +460,9 @@
     switch (outcome) {
       case ERROR -> {
         job.failures++;
-        job.failedOn.add(a.machine.name);
+        // Where it fails on three it is at fault itself: more of them are not asked for.
         if (job.failedOn.size() < 3) {
-          a.machine.errorJobs.add(job.spec.id());
-        } else {
-          // It fails wherever it runs: the job is at fault, not the machines.
-          for (Machine m : machines.values()) {
-            m.errorJobs.remove(job.spec.id());
-          }
+          job.failedOn.add(a.machine.name);
         }
         holdBack(job, now);
       }
@@ -646,6 +677,9 @@
     machinesVersion++;
     outbox.remove(m);
     gone.add(m.name);
+    if (gone.size() > MOST_GONE) {
+      gone.removeFirst();
+    }
   }
 
   /** The list says the machine failed: its tasks are gone, the name stays until it is deleted. */
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -67,7 +67,6 @@
 
   final Room free;
   final Int2DoubleLinkedOpenHashMap images = new Int2DoubleLinkedOpenHashMap();
-  final ObjectOpenHashSet<String> errorJobs = new ObjectOpenHashSet<>();
 
   Machine(String name, MachineType type, int zone, boolean spot, long now) {
     this.name = name;
--- a/src/main/java/org/mallowroad/core/Names.java
+++ b/src/main/java/org/mallowroad/core/Names.java
@@ -1,13 +1,16 @@
 package org.mallowroad.core;
 
+import it.unimi.dsi.fastutil.ints.IntArrayList;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** Interns names at the door so that everything inside works on dense indices. */
 public final class Names {
   private final Object2IntOpenHashMap<String> index = new Object2IntOpenHashMap<>();
   private final List<String> names = new ArrayList<>();
+  private final IntArrayList unused = new IntArrayList();
 
   /** An empty table. */
   public Names() {
@@ -18,9 +21,14 @@
   public int intern(String name) {
     int i = index.getInt(name);
     if (i < 0) {
-      i = names.size();
+      if (unused.isEmpty()) {
+        i = names.size();
+        names.add(name);
+      } else {
+        i = unused.popInt();
+        names.set(i, name);
+      }
       index.put(name, i);
-      names.add(name);
     }
     return i;
   }
@@ -37,6 +45,21 @@
 
   /** How many names there are. */
   public int size() {
-    return names.size();
+    return index.size();
+  }
+
+  /**
+   * Forgets the names whose indices are not used any more, so that names which users make up do not
+   * pile up; the indices are given to new names.
+   */
+  public void keep(BitSet used) {
+    for (int i = 0; i < names.size(); i++) {
+      String name = names.get(i);
+      if (name != null && !used.get(i)) {
+        index.removeInt(name);
+        names.set(i, null);
+        unused.push(i);
+      }
+    }
   }
 }
--- a/src/main/java/org/mallowroad/net/HttpCaller.java
+++ b/src/main/java/org/mallowroad/net/HttpCaller.java
@@ -25,7 +25,6 @@
 public final class HttpCaller {
   private static final HttpString CONTENT_TYPE = Headers.CONTENT_TYPE;
   private static final int MAX_IDLE = 8;
-  private static final int MAX_BODY = 32 << 20;
 
   private final Loop loop;
   private final ByteBufferPool buffers;
@@ -36,6 +35,8 @@
   private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
   private int open;
   private final int maxOpen;
+  private final int maxBody;
+  private boolean closed;
 
   /** What comes of a request; exactly one method is called, once. */
   public interface Answer {
@@ -50,15 +51,24 @@
     void failed(boolean sent);
   }
 
-  /** A caller for an endpoint with at most {@code maxOpen} connections. */
+  /**
+   * A caller for an endpoint with at most {@code maxOpen} connections; an answer of more than
+   * {@code maxBody} bytes counts as none.
+   */
   public HttpCaller(
-      Loop loop, ByteBufferPool buffers, Endpoint endpoint, String contentType, int maxOpen) {
+      Loop loop,
+      ByteBufferPool buffers,
+      Endpoint endpoint,
+      String contentType,
+      int maxOpen,
+      int maxBody) {
     this.loop = loop;
     this.buffers = buffers;
     this.uri = URI.create("http://" + endpoint);
     this.host = endpoint.toString();
     this.contentType = contentType;
     this.maxOpen = maxOpen;
+    this.maxBody = maxBody;
   }
 
   /** Sends a request; with no answer in time its connection is closed. */
@@ -107,8 +117,9 @@
         OptionMap.EMPTY);
   }
 
-  /** Closes the kept connections. */
+  /** Closes the kept connections; those that are in use are closed after their answers. */
   public void close() {
+    closed = true;
     ClientConnection c;
     while ((c = idle.pollFirst()) != null) {
       IoUtils.safeClose(c);
@@ -222,7 +233,7 @@
                 byte[] part = new byte[b.remaining()];
                 b.get(part);
                 out.write(part, 0, part.length);
-                if (out.size() > MAX_BODY) {
+                if (out.size() > maxBody) {
                   fail();
                   return;
                 }
@@ -245,7 +256,7 @@
       // The exchange is closed once this listener returns; only then may the next one begin.
       loop.soon(
           () -> {
-            if (c.isOpen() && idle.size() < MAX_IDLE) {
+            if (!closed && c.isOpen() && idle.size() < MAX_IDLE) {
               idle.addFirst(c);
             } else {
               IoUtils.safeClose(c);
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -50,7 +50,7 @@
     this.loop = loop;
     this.listener = listener;
     for (Member m : members) {
-      callers.add(new HttpCaller(loop, buffers, m.endpoint(), "avro/binary", 16));
+      callers.add(new HttpCaller(loop, buffers, m.endpoint(), "avro/binary", 16, 128 * 1024));
     }
   }
 
--- a/src/main/java/org/mallowroad/wire/JobCodec.java
+++ b/src/main/java/org/mallowroad/wire/JobCodec.java
@@ -32,10 +32,22 @@
   }
 
   /**
-   * Decodes a submission. An unknown team has index -1 and an unknown zone or type matches nothing,
-   * which is for the caller to judge: the submission itself is well formed.
+   * Decodes a submission only to judge it: its names get no indices, since whoever sends wrong
+   * submissions must not fill the tables.
+   */
+  public JobSpec check(JsonNode o) throws BadMessage {
+    return decode(o, 0, false);
+  }
+
+  /**
+   * Decodes an accepted submission. An unknown team has index -1 and an unknown zone or type
+   * matches nothing, which is for the caller to judge: the submission itself is well formed.
    */
   public JobSpec decode(JsonNode o, long submittedMs) throws BadMessage {
+    return decode(o, submittedMs, true);
+  }
+
+  private JobSpec decode(JsonNode o, long submittedMs, boolean accepted) throws BadMessage {
     String id = Json.string(o, Fields.ID, 60);
     if (!ID.matcher(id).matches()) {
       throw new BadMessage(Fields.ID + ": not a job id");
@@ -58,7 +70,7 @@
     double memGb = Json.amount(o, Fields.MEM_GB, MAX_AMOUNT);
     String image = Json.string(o, Fields.IMAGE, 500);
     double imageGb = Json.amount(o, Fields.IMAGE_GB, MAX_AMOUNT);
-    BitSet allowed = types(o);
+    BitSet allowed = types(o, accepted);
     String zoneName = Json.stringOrNull(o, Fields.ZONE, 200);
     int zone = -1;
     if (zoneName != null) {
@@ -74,7 +86,7 @@
     double due = Json.amountOr(o, Fields.DUE_S, MAX_AMOUNT, 0);
     return new JobSpec(
         id,
-        classes.intern(taskClass),
+        accepted ? classes.intern(taskClass) : classes.find(taskClass),
         teams.find(team),
         service,
         gang,
@@ -83,7 +95,7 @@
         cpus,
         cards,
         memGb,
-        images.intern(image),
+        accepted ? images.intern(image) : images.find(image),
         imageGb,
         allowed,
         zone,
@@ -97,7 +109,7 @@
         submittedMs);
   }
 
-  private BitSet types(JsonNode o) throws BadMessage {
+  private BitSet types(JsonNode o, boolean accepted) throws BadMessage {
     JsonNode n = o.get(Fields.TYPES);
     if (n == null || n.isNull()) {
       return null;
@@ -108,7 +120,10 @@
         throw new BadMessage(Fields.TYPES + ": type names are needed");
       }
       // A type the cloud does not know yet may be offered later: it keeps its own index.
-      set.set(types.intern(t.textValue()));
+      int type = accepted ? types.intern(t.textValue()) : types.find(t.textValue());
+      if (type >= 0) {
+        set.set(type);
+      }
     }
     return set;
   }
--- a/src/main/java/org/mallowroad/worker/WorkerClient.java
+++ b/src/main/java/org/mallowroad/worker/WorkerClient.java
@@ -20,6 +20,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(WorkerClient.class);
   private static final long TIMEOUT_MS = 4_000;
 
+  /** A report fits into a request body of the protocol. */
+  private static final int MOST_BYTES = 64 * 1024;
+
   private final Loop loop;
   private final ByteBufferPool buffers;
   private final int maxWorkers;
@@ -55,6 +58,11 @@
     return busy.contains(address);
   }
 
+  /** How many workers' connections are kept. */
+  public int kept() {
+    return callers.size();
+  }
+
   /** Sends a message. */
   public void send(String address, ObjectNode message, Sent sent) {
     HttpCaller caller = callers.getAndMoveToLast(address);
@@ -68,7 +76,7 @@
         return;
       }
       Endpoint to = new Endpoint(address.substring(0, Math.max(0, colon)), port);
-      caller = new HttpCaller(loop, buffers, to, "application/json", 2);
+      caller = new HttpCaller(loop, buffers, to, "application/json", 2, MOST_BYTES);
       callers.put(address, caller);
       if (callers.size() > maxWorkers) {
         callers.removeFirst().close();
--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -0,0 +1,232 @@
+package org.mallowroad.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.DefaultByteBufferPool;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mallowroad.api.UserApi;
+import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Placement;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.net.Loop;
+import org.mallowroad.wire.Json;
+import org.mallowroad.worker.WorkerClient;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Many days of jobs, machines and connections in virtual time: what a process keeps must depend on
+ * what there is now, not on how long it has run.
+ */
+final class KeptTest {
+  private static final long DAY_MS = 86_400_000;
+  private static final int DAYS = 40;
+  private static final int A_DAY = 600;
+
+  @TempDir Path dir;
+  private Site site;
+
+  @BeforeEach
+  void settings() throws Exception {
+    Path f = dir.resolve("n.toml");
+    Files.writeString(
+        f,
+        """
+        node_name = "n"
+        site = "a"
+        listen = "127.0.0.1:0"
+        peer_listen = "127.0.0.1:0"
+        [outside]
+        cloud = "127.0.0.1:1"
+        state = "127.0.0.1:1"
+        [params]
+        zones = ["a"]
+        [[params.teams]]
+        name = "t"
+        cpus = 1000.0
+        cpus_max = 1000.0
+        [[params.objectives]]
+        kind = "finished"
+        class = "named-in-settings"
+        within_s = 100.0
+        [params.workers]
+        report_s = 4.0
+        lease_s = 26.0
+        cancel_s = 51.0
+        [params.state]
+        rps = 100.0
+        write_rps = 30.0
+        value_kb = 8.0
+        txn_ops = 16
+        [params.cloud]
+        rps = 8.0
+        """);
+    site = new Site(Settings.load(f.toString()), OperatorSettings.defaults());
+    site.machineTypes(
+        List.of(
+            new MachineType(
+                site.types.intern("t32"), "t32", 32, 0, 256, 9, 1, 2, 0.5, 30, new int[] {0})));
+  }
+
+  private ObjectNode submission(int n) {
+    ObjectNode o = Json.object();
+    o.put("name_id", "job-" + n).put("docket", "class-" + n).put("crew", "t").put("form", "sweep");
+    o.put("rank", "normal").put("moves", 4).put("cpus", 8.0).put("cards", 0.0).put("mem_gb", 1.0);
+    o.put("kit", "image-" + n).put("size_gb", 4.0).put("together", false).put("scatter", false);
+    o.put("driftwood", true).put("reckon_s", 60.0).put("cairn_s", 0.0).put("stow_s", 0.0);
+    o.putArray("builds").add("t32").add("type-" + n);
+    return o;
+  }
+
+  private static void commit(Ledger ledger, long now) {
+    for (Chunk c : new ArrayList<>(ledger.dirty())) {
+      List<Attempt> recorded = new ArrayList<>();
+      for (int t = c.from(); t < c.to(); t++) {
+        if (c.job.live(t) != null) {
+          recorded.add(c.job.live(t));
+        }
+      }
+      ledger.committed(c, 9, c.changes, recorded, now);
+    }
+  }
+
+  /** Every job has names of its own, errors and an end; every machine serves a few and goes. */
+  @Test
+  void jobsAndMachinesThatAreOverLeaveNothingBehind() throws Exception {
+    Ledger ledger = new Ledger(1, 26, 4, site.teams(), site.zones);
+    Placement placement = new Placement(ledger);
+    MachineType type = site.type("t32");
+    int n = 0;
+    long now = 0;
+    Machine m = null;
+    for (int day = 0; day < DAYS; day++) {
+      for (int i = 0; i < A_DAY; i++) {
+        now = day * DAY_MS + i * (DAY_MS / A_DAY);
+        n++;
+        if (m != null && n % 2 == 0) {
+          ledger.machineGone(m, now);
+        }
+        String name = "n-" + n / 2;
+        m = ledger.meet(name, type, 0, true, now);
+        ledger.report(
+            m,
+            new WorkerReport(name, "h:1", "t32", "a", true, 1, 2L * n, 1, -1, List.of()),
+            true,
+            now);
+        Job job = ledger.accept(site.codec.decode(submission(n), now), 5, 0, now);
+        placement.place(now);
+        commit(ledger, now);
+        if (n % 2 == 0) {
+          ledger.resolve(job.live(0), Ledger.Outcome.ERROR, now);
+          ledger.withdraw(job, now);
+        }
+        for (int t = 0; t < 4; t++) {
+          if (job.live(t) != null) {
+            ledger.resolve(job.live(t), Ledger.Outcome.DONE, now);
+          }
+        }
+        if (n % 2 == 1) {
+          assertTrue(job.allDone());
+          ledger.ended(job);
+        }
+        assertTrue(job.finished());
+        commit(ledger, now);
+        ledger.forget(job);
+        ledger.outbox().clear();
+      }
+      site.keepNames(ledger);
+    }
+    assertEquals(
+        Map.of(
+            "jobs",
+            0,
+            "machines",
+            1,
+            "gone",
+            10_000,
+            "dirty",
+            0,
+            "urgent",
+            0,
+            "outbox",
+            0,
+            "ending",
+            0),
+        ledger.tables());
+    // 72,000 names were made up; a day's worth is there at the most between two looks.
+    assertTrue(site.names() < Site.MOST_NAMES, site.names() + " names");
+    assertTrue(site.classes.find("named-in-settings") == 0);
+    assertEquals(type.index(), site.types.find("t32"));
+  }
+
+  @Test
+  void submissionsThatAreOnlyJudgedLeaveNoName() throws Exception {
+    int before = site.names();
+    for (int n = 0; n < 1_000; n++) {
+      site.codec.check(submission(n));
+    }
+    assertEquals(before, site.names());
+  }
+
+  @Test
+  void aNameThatIsUsedKeepsItsIndexAndOthersAreGivenAgain() throws Exception {
+    Ledger ledger = new Ledger(1, 26, 4, site.teams(), site.zones);
+    Job kept = ledger.accept(site.codec.decode(submission(7), 0), 5, 0, 0);
+    for (int n = 100; n < 3_000; n++) {
+      site.codec.decode(submission(n), 0);
+    }
+    site.keepNames(ledger);
+    assertEquals(kept.spec.image(), site.images.find("image-7"));
+    assertEquals(kept.spec.taskClass(), site.classes.find("class-7"));
+    assertTrue(kept.spec.types().get(site.types.find("type-7")));
+    assertEquals(-1, site.images.find("image-200"));
+    int fresh = site.images.intern("image-new");
+    assertTrue(fresh != kept.spec.image() && fresh < 3_000);
+    assertEquals("image-new", site.images.name(fresh));
+  }
+
+  @Test
+  void endsAreRememberedUpToABound() {
+    UserApi users = new UserApi(null, null, null, null, null, 8, 5_000);
+    for (int n = 0; n < 100_000; n++) {
+      users.ended("job-" + n, true);
+    }
+    assertEquals(5_000, users.ends());
+  }
+
+  @Test
+  void connectionsToWorkersThatAreGoneAreNotKept() throws Exception {
+    XnioWorker worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    try {
+      Loop loop = new Loop(worker.getIoThread());
+      WorkerClient client =
+          new WorkerClient(loop, new DefaultByteBufferPool(false, 16 * 1024, 4, 0), 50);
+      for (int port = 1; port <= 1_000; port++) {
+        client.send("127.0.0.1:" + port, Json.object(), (result, report) -> {});
+      }
+      assertEquals(50, client.kept());
+    } finally {
+      worker.shutdownNow();
+    }
+  }
+}
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -71,6 +73,8 @@
           txn_ops = 16
           [params.cloud]
           rps = 100.0
+          [params.resources]
+          ram_mb = 32.0
           """
               .formatted(i, cloud.port(), state.port()));
       Node n = new Node(new Site(Settings.load(f.toString()), OperatorSettings.defaults()));
@@ -263,4 +267,57 @@
     state.down = false;
     await("acceptance after the outage", () -> status("POST", "/v1/jobs", good) == 201);
   }
+
+  /** Slow bodies on all sockets that the limits admit: small requests go on being answered. */
+  @Test
+  void bodiesThatComeSlowlyAreBoundedTogether() throws Exception {
+    String[] at = addresses.values().iterator().next().split(":");
+    List<Socket> slow = new ArrayList<>();
+    int refused = 0;
+    try {
+      for (int i = 0; i < 120; i++) {
+        Socket s = new Socket(at[0], Integer.parseInt(at[1]));
+        slow.add(s);
+        s.setSoTimeout(2_000);
+        String path = i % 2 == 0 ? "/v1/jobs" : "/v1/jobs/job-000001";
+        s.getOutputStream()
+            .write(
+                ("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 65536\r\n\r\n{")
+                    .getBytes(StandardCharsets.US_ASCII));
+      }
+      // 32 MB of memory bound the bodies to 2 MB: 32 of 64 KiB are read, the other 28 are told at
+      // once to come back.
+      await("bodies in hand", () -> metric("mallowroad_bodies_bytes") == 32 * 65536);
+      for (int i = 64; i < 120; i += 2) {
+        byte[] answer = new byte[400];
+        String text =
+            new String(
+                answer, 0, slow.get(i).getInputStream().read(answer), StandardCharsets.US_ASCII);
+        assertTrue(text.startsWith("HTTP/1.1 503") && text.contains("Retry-After: 1"), text);
+        refused++;
+      }
+      assertEquals(28, refused);
+      assertEquals(503, status("POST", "/v1/jobs", job("job-000001", 2, 1)));
+      // Workers and those who only ask are not held up by users' bodies.
+      assertEquals(400, status("POST", "/v1/report", "{}"));
+      assertEquals(404, status("GET", "/v1/jobs/job-000001", ""));
+      assertEquals(200, status("GET", "/healthz", ""));
+    } finally {
+      for (Socket s : slow) {
+        s.close();
+      }
+    }
+    await("room again", () -> metric("mallowroad_bodies_bytes") == 0);
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 2, 1)));
+  }
+
+  private double metric(String name) {
+    return send("GET", "/metrics", "")
+        .body()
+        .lines()
+        .filter(l -> l.startsWith(name + " "))
+        .mapToDouble(l -> Double.parseDouble(l.substring(name.length() + 1)))
+        .findFirst()
+        .orElse(-1);
+  }
 }
