--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -20,11 +20,13 @@
  */
 public final class UserApi {
   private static final String JOBS = "/v1/jobs";
+  private static final long CROWDED_MS = 10_000;
 
   private final Loop loop;
   private final StateStore state;
   private final Budget reads;
   private final Budget writes;
+  private final Budget fairWrites;
   private final Jobs jobs;
   private final double valueKb;
   private final int mostEnds;
@@ -54,6 +56,7 @@
       StateStore state,
       Budget reads,
       Budget writes,
+      Budget fairWrites,
       Jobs jobs,
       double valueKb,
       int mostEnds) {
@@ -61,6 +64,7 @@
     this.loop = loop;
     this.state = state;
     this.writes = writes;
+    this.fairWrites = fairWrites;
     this.jobs = jobs;
     this.valueKb = valueKb;
     this.mostEnds = mostEnds;
@@ -123,7 +127,7 @@
       known(x, id, () -> x.answer(422, Reply.reason(never), false));
       return;
     }
-    if (!writes.take(1, loop.now())) {
+    if (!mayWrite()) {
       x.answer(429, Reply.reason("too many submissions"), true);
       return;
     }
@@ -145,6 +149,17 @@
         });
   }
 
+  /**
+   * After all nodes have been away, one node gets all submissions: they must not wait for its part
+   * of the service's writes while the other nodes use nothing. So each may use what the leader
+   * leaves, and keeps to its part for a while once the service has refused a call for its limits.
+   */
+  private boolean mayWrite() {
+    long now = loop.now();
+    boolean crowded = now - state.crowdedMs() < CROWDED_MS;
+    return (crowded ? fairWrites : writes).take(1, now);
+  }
+
   /** Answers 200 with the state of a job that is known already, else runs {@code otherwise}. */
   private void known(Answerer x, String id, Runnable otherwise) {
     read(
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -99,7 +99,8 @@
             loop,
             state,
             new Budget(s.stateRps() * 0.8 / s.nodes(), s.stateRps() * 0.8 / s.nodes(), now),
-            new Budget(s.stateWriteRps() * 0.4 / s.nodes(), s.stateWriteRps() * 0.6, now),
+            new Budget(s.stateWriteRps() * 0.25, s.stateWriteRps() * 0.6, now),
+            new Budget(s.stateWriteRps() * 0.25 / s.nodes(), 1, now),
             new NodeJobs(),
             s.valueKb(),
             (int) (s.ramMb() * ENDS_PER_MB));
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -27,6 +27,7 @@
   private final HttpCaller follower;
   private long contactMs = Long.MIN_VALUE / 2;
   private long failedMs = Long.MIN_VALUE / 2;
+  private long crowdedMs = Long.MIN_VALUE / 2;
   private long wrong;
 
   /** How a call went. */
@@ -91,6 +92,11 @@
     return failedMs > contactMs && loop.now() - failedMs < 3_000;
   }
 
+  /** When the service last refused a call of this node for its limits. */
+  public long crowdedMs() {
+    return crowdedMs;
+  }
+
   /** Answers that were not what the protocol says. */
   public long wrong() {
     return wrong;
@@ -304,6 +310,8 @@
         contactMs = loop.now();
       } else if (status == 503) {
         failedMs = loop.now();
+      } else if (status == 429) {
+        crowdedMs = loop.now();
       }
       ObjectNode o = Json.object();
       if (status < 500 && status != 429 && body.length > 0) {
