--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -46,6 +46,20 @@
 
   /** POST /v1/report. */
   public void report(HttpServerExchange x, byte[] body) {
+    if (!reports.leading()) {
+      // Not even read: while no node leads, every worker comes to each of them once a second, and
+      // cold code on a fraction of a core has other things to do. Terms need no report: their
+      // counter lasts in the state service.
+      String leader = reports.leader();
+      if (leader == null) {
+        Reply.later(x, "no leader known");
+        return;
+      }
+      ObjectNode o = Json.object();
+      o.put(Fields.LEADER, leader);
+      Reply.json(x, 421, o);
+      return;
+    }
     WorkerReport r;
     try {
       r = WorkerCodec.decode(Json.parseObject(body));
@@ -57,14 +71,7 @@
     }
     reports.sawToken(r.token());
     if (!reports.leading()) {
-      String leader = reports.leader();
-      if (leader == null) {
-        Reply.later(x, "no leader known");
-        return;
-      }
-      ObjectNode o = Json.object();
-      o.put(Fields.LEADER, leader);
-      Reply.json(x, 421, o);
+      Reply.later(x, "no leader known");
       return;
     }
     reports.report(
