--- a/src/main/java/org/mallowroad/api/Intake.java
+++ b/src/main/java/org/mallowroad/api/Intake.java
@@ -46,23 +46,15 @@
       Reply.later(x, "too many bodies at once");
       return;
     }
-    bytes += length;
-    x.addExchangeCompleteListener(
-        (e, next) -> {
-          bytes -= length;
-          next.proceed();
-        });
-    XnioExecutor.Key late =
-        x.getIoThread()
-            .executeAfter(() -> IoUtils.safeClose(x.getConnection()), MOST_S, TimeUnit.SECONDS);
+    Hand hand = new Hand(x, length);
     x.getRequestReceiver()
         .receiveFullBytes(
             (e, body) -> {
-              late.remove();
+              hand.give();
               async(e, () -> handler.accept(e, body));
             },
             (e, error) -> {
-              late.remove();
+              hand.give();
               e.setPersistent(false);
               if (error instanceof RequestTooBigException) {
                 Reply.error(e, 413, "the body is too large");
@@ -72,6 +64,35 @@
             });
   }
 
+  /** A body that is being read: its bytes are given back once, however the reading ends. */
+  private final class Hand {
+    private final long length;
+    private final XnioExecutor.Key late;
+    private boolean over;
+
+    Hand(HttpServerExchange x, long length) {
+      this.length = length;
+      bytes += length;
+      late =
+          x.getIoThread()
+              .executeAfter(
+                  () -> {
+                    give();
+                    IoUtils.safeClose(x.getConnection());
+                  },
+                  MOST_S,
+                  TimeUnit.SECONDS);
+    }
+
+    void give() {
+      if (!over) {
+        over = true;
+        late.remove();
+        bytes -= length;
+      }
+    }
+  }
+
   /** Lets the answer come after the caller returned. */
   static void async(HttpServerExchange x, Runnable handler) {
     x.dispatch(
