Reports are read again where no leader is: the next leader was colder without

The reports that come to every node while a leader is sought most likely compile the code that the next leader needs.

--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -46,20 +46,6 @@
 
   /** POST /v1/report. */
   public void report(HttpServerExchange x, byte[] body) {
-    if (!reports.leading()) {
-      // Not even read: while no node leads, every worker comes to each of them once a second, and
-      // cold code on a fraction of a core has other things to do. Terms need no report: their
-      // counter lasts in the state service.
-      String leader = reports.leader();
-      if (leader == null) {
-        Reply.later(x, "no leader known");
-        return;
-      }
-      ObjectNode o = Json.object();
-      o.put(Fields.LEADER, leader);
-      Reply.json(x, 421, o);
-      return;
-    }
     WorkerReport r;
     try {
       r = WorkerCodec.decode(Json.parseObject(body));
@@ -70,8 +56,18 @@
       return;
     }
     reports.sawToken(r.token());
+    // Also read where no leader is: while one is sought the reports that come to each node compile
+    // the
+    // code that the next leader needs (docs/results.md).
     if (!reports.leading()) {
-      Reply.later(x, "no leader known");
+      String leader = reports.leader();
+      if (leader == null) {
+        Reply.later(x, "no leader known");
+        return;
+      }
+      ObjectNode o = Json.object();
+      o.put(Fields.LEADER, leader);
+      Reply.json(x, 421, o);
       return;
     }
     reports.report(
