Room that comes free by itself is waited for, not made by stopping tasks; money by its use

Change: before it looks for victims, placement surveys what runs (Turnover): tasks beyond 0.4 of their estimate end at an even rate, what a job ahead in the queue takes is left out, and only what is missing within 4 s is stopped for.

--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -173,8 +173,11 @@
   }
 
   /** The machine reported: it is no longer on its way. */
-  void reported(String machine) {
-    expected.remove(machine);
+  void reported(Machine m) {
+    Expected e = expected.remove(m.name);
+    if (e != null) {
+      ledger.spending().booted(m, loop.now() - e.rentedMs);
+    }
   }
 
   private void types() {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -18,6 +18,7 @@
 import org.mallowroad.core.MachineType;
 import org.mallowroad.core.Order;
 import org.mallowroad.core.Placement;
+import org.mallowroad.core.Spending;
 import org.mallowroad.core.WorkerReport;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
@@ -643,7 +644,7 @@
       return;
     }
     load.reports++;
-    fleet.reported(m.name);
+    fleet.reported(m);
     List<Order> orders = ledger.report(m, r, firm(), loop.now());
     m.answeredMs = loop.now();
     if (orders == null) {
@@ -667,6 +668,10 @@
     return Math.max(load.lastLagMs, load.lagMs);
   }
 
+  private static double round(double money) {
+    return Math.round(money * 1000) / 1000.0;
+  }
+
   /** What the office does, for the log: how near the machine is to its limit. */
   private final class Load {
     private long tickedMs;
@@ -703,6 +708,18 @@
           ledger.machines().size(),
           Memory.heapBytes() >> 20,
           Memory.processBytes() >> 20);
+      for (Spending.Kind k : ledger.spending().kinds()) {
+        LOG.info(
+            "event=spending type={} spot={} machines={} boot={} idle={} starting={} useful={} lost={}",
+            k.type,
+            k.spot,
+            k.machines(),
+            round(k.boot()),
+            round(k.idle()),
+            round(k.starting()),
+            round(k.useful()),
+            round(k.lost()));
+      }
       site.keepNames(ledger);
       lastLagMs = lagMs;
       lagMs = 0;
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -86,6 +86,7 @@
 
   private long completed;
   private long requeued;
+  private final Spending spending = new Spending();
 
   /** An empty ledger for a term; machines whose report is overdue get no work. */
   public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
@@ -194,6 +195,11 @@
     return requeued;
   }
 
+  /** Where the money of this term went. */
+  public Spending spending() {
+    return spending;
+  }
+
   /** Number of attempts that completed in this term. */
   public long completed() {
     return completed;
@@ -446,6 +452,7 @@
       team(job.spec).stoppingCpus -= job.spec.cpus();
     }
     a.phase = Attempt.Phase.GONE;
+    spending.resolved(a, outcome == Outcome.DONE, now);
     job.live[a.task] = null;
     job.liveCount--;
     job.zoneLive[a.machine.zone]--;
@@ -682,6 +689,7 @@
       resolve(a, Outcome.LOST, now);
     }
     machines.remove(m.name);
+    spending.gone(m, now);
     machinesVersion++;
     outbox.remove(m);
     gone.add(m.name);
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -20,10 +20,14 @@
 
   private static final int PREEMPT_JOBS = 16;
 
+  /** Room that comes free by itself within this time is waited for. */
+  private static final double WAIT_S = 4;
+
   /** For this part of its slack a job with a deadline lets others pass that need no fetch. */
   private static final double YIELD = 0.3;
 
   private final Ledger ledger;
+  private final Turnover turnover = new Turnover(WAIT_S);
   private Machine[] order = new Machine[0];
   private Machine[] open = new Machine[0];
   private int openCount;
@@ -107,6 +111,7 @@
     sortMachines();
     findOpen(waiting, now);
     boolean seek = now - preemptedMs >= PREEMPT_EVERY_MS;
+    boolean surveyed = false;
     if (seek) {
       preemptedMs = now;
     }
@@ -127,8 +132,14 @@
       }
       fill(job, true, made, now);
       fill(job, false, made, now);
-      if (seek && !job.pending.isEmpty() && stopping < PREEMPT_JOBS && preempt(job, now)) {
-        stopping++;
+      if (seek && !job.pending.isEmpty() && stopping < PREEMPT_JOBS) {
+        if (!surveyed) {
+          surveyed = true;
+          turnover.survey(ledger.jobs(), now);
+        }
+        if (preempt(job, now)) {
+          stopping++;
+        }
       }
     }
     return made;
@@ -293,11 +304,14 @@
     JobSpec s = job.spec;
     Team team = ledger.team(s);
     long waited = now - job.waitingSinceMs;
-    if (waited < PREEMPT_AFTER_MS || !team.allows(s, 1)) {
+    int need = team.most(s, job.pending.size());
+    int coming = turnover.coming(s, need);
+    turnover.claim(s, need);
+    need -= coming;
+    if (waited < PREEMPT_AFTER_MS || need <= 0) {
       return false;
     }
     boolean guarantee = waited >= GUARANTEE_AFTER_MS && job.guaranteed && team.guarantees(s);
-    int need = team.most(s, job.pending.size());
     List<Stops> options = new ArrayList<>();
     looked += order.length;
     for (Machine m : order) {
@@ -322,12 +336,12 @@
         }
       }
       // What is stopping already will make room.
-      int coming = room.holds(s, need);
-      need -= coming;
+      int stopped = room.holds(s, need);
+      need -= stopped;
       if (need == 0) {
         return true;
       }
-      if (candidates == null || coming > 0) {
+      if (candidates == null || stopped > 0) {
         continue;
       }
       candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/TurnoverTest.java
@@ -0,0 +1,115 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Stopping is for room that does not come by itself. */
+final class TurnoverTest {
+  /** A full fleet of 100 machines of 4 CPUs with tasks of 60 s by their estimate. */
+  private static final class World {
+    final Names zones = new Names();
+    final MachineType type =
+        new MachineType(0, "t4", 4, 0, 64, 100, 1, 1.0, 0.5, 30, new int[] {0});
+    final Ledger ledger;
+    final Placement placement;
+    long seq;
+    long now = 1_000_000;
+
+    World() {
+      zones.intern("a");
+      ledger = new Ledger(1, 26, 4, List.of(new Team("t", 1e6, 0, 1e6, 0)), zones);
+      placement = new Placement(ledger);
+      for (int i = 0; i < 100; i++) {
+        report(ledger.meet("n-" + i, type, 0, true, now));
+      }
+    }
+
+    void report(Machine m) {
+      List<WorkerReport.Entry> tasks = new ArrayList<>();
+      for (Attempt a : m.attempts()) {
+        tasks.add(
+            new WorkerReport.Entry(
+                a.job.spec.id(), a.task, a.number, WorkerReport.State.RUNNING, null));
+      }
+      ledger.report(
+          m, new WorkerReport(m.name, "h:1", "t4", "a", true, 1, ++seq, 1, -1, tasks), true, now);
+    }
+
+    /** Normal tasks fill the fleet and have run for so long. */
+    void fill(double cpus, long ranMs) {
+      int n = (int) (400 / cpus);
+      ledger.accept(Specs.array("job-1", n, cpus).spot().build(), 5, 0, now);
+      assertEquals(n, placement.place(now).size());
+      Specs.commit(ledger, now);
+      for (Machine m : ledger.machines()) {
+        report(m);
+      }
+      now += ranMs;
+      ledger.machines().forEach(this::report);
+    }
+
+    /** Urgent tasks wait for two seconds; how many others were stopped for them. */
+    long urgent(int tasks) {
+      ledger.accept(Specs.array("job-2", tasks, 1).priority(1).spot().build(), 5, 0, now);
+      for (int i = 0; i < 5; i++) {
+        now += 500;
+        ledger.machines().forEach(this::report);
+        placement.place(now);
+      }
+      return placement.stops();
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest full(String name, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World()));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> stops() {
+    return Stream.of(
+        full(
+            "few urgent tasks wait for the ends that come anyway",
+            w -> {
+              w.fill(1, 40_000);
+              assertEquals(0, w.urgent(20));
+            }),
+        full(
+            "what has just begun does not end soon: room for urgent tasks is made",
+            w -> {
+              w.fill(1, 2_000);
+              assertEquals(20, w.urgent(20));
+            }),
+        full(
+            "what comes is left out, what is missing is stopped",
+            w -> {
+              w.fill(1, 40_000);
+              long stops = w.urgent(100);
+              assertTrue(stops >= 40 && stops <= 90, "stopped " + stops);
+            }),
+        full(
+            "what comes goes to the jobs ahead first: it is not counted twice",
+            w -> {
+              w.fill(1, 40_000);
+              w.ledger.accept(Specs.array("job-0", 30, 1).priority(0).spot().build(), 5, 0, w.now);
+              long stops = w.urgent(30);
+              assertTrue(stops >= 25 && stops <= 50, "stopped " + stops);
+            }),
+        full(
+            "small tasks that end here and there make no room for a large one",
+            w -> {
+              w.fill(1, 40_000);
+              w.ledger.accept(Specs.array("job-3", 1, 4).priority(1).spot().build(), 5, 0, w.now);
+              assertEquals(4, w.urgent(1));
+            }));
+  }
+}
