--- a/src/main/java/org/mallowroad/cloud/CloudApi.java
+++ b/src/main/java/org/mallowroad/cloud/CloudApi.java
@@ -11,6 +11,7 @@
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.HttpCaller;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -23,6 +24,7 @@
   private static final long TIMEOUT_MS = 5_000;
 
   private final Loop loop;
+  private final Seldom garbled = Seldom.usual();
   private final HttpCaller caller;
   private final Budget budget;
   private final Names typeNames;
@@ -254,7 +256,14 @@
         }
       } catch (BadMessage e) {
         wrong++;
-        LOG.warn("event=cloud_garbled status={} reason=\"{}\"", status, e.getMessage());
+        long left = garbled.line(loop.now());
+        if (left >= 0) {
+          LOG.warn(
+              "event=cloud_garbled status={} reason=\"{}\" left_out={}",
+              status,
+              e.getMessage(),
+              left);
+        }
         none();
       }
     }
--- a/src/main/java/org/mallowroad/config/OperatorSettings.java
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -6,15 +6,19 @@
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
 import org.mallowroad.core.FleetPolicy;
+import org.mallowroad.core.health.HealthPolicy;
 import org.w3c.dom.Element;
 import org.xml.sax.SAXException;
 
-/** The operators' own settings (XML): the design's thresholds, triggers, cycle and step. */
-public record OperatorSettings(FleetPolicy fleet) {
+/**
+ * The operators' own settings (XML): the design's thresholds, triggers, cycle and step, and the
+ * thresholds by which machines, zones and the controller itself are suspected.
+ */
+public record OperatorSettings(FleetPolicy fleet, HealthPolicy health) {
 
   /** What holds without a file. */
   public static OperatorSettings defaults() {
-    return new OperatorSettings(FleetPolicy.defaults());
+    return new OperatorSettings(FleetPolicy.defaults(), HealthPolicy.defaults());
   }
 
   /**
@@ -36,19 +40,42 @@
     if (!root.getTagName().equals("mallowroad")) {
       throw new BadSettings(file, root.getTagName(), "the root element is mallowroad");
     }
+    return new OperatorSettings(fleet(file, root), health(file, root));
+  }
+
+  private static FleetPolicy fleet(String file, Element root) throws BadSettings {
     FleetPolicy d = FleetPolicy.defaults();
     if (!(root.getElementsByTagName("fleet").item(0) instanceof Element e)) {
-      return defaults();
+      return d;
+    }
+    return new FleetPolicy(
+        number(file, e, "booked-limit", d.bookedLimit(), 0.01, 1),
+        number(file, e, "waiting-limit", d.waitingLimit(), 1, 1e6),
+        number(file, e, "booked-spare", d.bookedSpare(), 0, 1),
+        number(file, e, "waiting-spare", d.waitingSpare(), 0, 1e6),
+        (long) (number(file, e, "cycle-s", d.cycleMs() / 1000.0, 0.1, 3600) * 1000),
+        (int) number(file, e, "step", d.step(), 1, 1000),
+        (long) (number(file, e, "idle-s", d.idleMs() / 1000.0, 0, 86400) * 1000));
+  }
+
+  private static HealthPolicy health(String file, Element root) throws BadSettings {
+    HealthPolicy d = HealthPolicy.defaults();
+    if (!(root.getElementsByTagName("health").item(0) instanceof Element e)) {
+      return d;
     }
-    return new OperatorSettings(
-        new FleetPolicy(
-            number(file, e, "booked-limit", d.bookedLimit(), 0.01, 1),
-            number(file, e, "waiting-limit", d.waitingLimit(), 1, 1e6),
-            number(file, e, "booked-spare", d.bookedSpare(), 0, 1),
-            number(file, e, "waiting-spare", d.waitingSpare(), 0, 1e6),
-            (long) (number(file, e, "cycle-s", d.cycleMs() / 1000.0, 0.1, 3600) * 1000),
-            (int) number(file, e, "step", d.step(), 1, 1000),
-            (long) (number(file, e, "idle-s", d.idleMs() / 1000.0, 0, 86400) * 1000)));
+    return new HealthPolicy(
+        number(file, e, "slow-factor", d.slowFactor(), 1.1, 100),
+        (int) number(file, e, "slow-samples", d.slowSamples(), 2, 12),
+        number(file, e, "slow-share", d.slowShare(), 0, 1),
+        (long) (number(file, e, "favour-s", d.favourMs() / 1000.0, 1, 86400) * 1000),
+        (int) number(file, e, "errors", d.errors(), 1, 100),
+        number(file, e, "cut-share", d.cutShare(), 0.05, 1),
+        (int) number(file, e, "cut-least", d.cutLeast(), 1, 1e6),
+        number(file, e, "cut-returns", d.cutReturns(), 0, 1),
+        number(file, e, "haste-share", d.hasteShare(), 0, 1),
+        (int) number(file, e, "haste-least", d.hasteLeast(), 1, 1e6),
+        number(file, e, "replace-share", d.replaceShare(), 0, 1),
+        (long) (number(file, e, "still-s", d.stillMs() / 1000.0, 0.5, 60) * 1000));
   }
 
   private static double number(
@@ -66,6 +93,6 @@
       // Falls through to the one message.
     }
     throw new BadSettings(
-        file, "fleet/" + name, "a number from " + min + " to " + max + " is needed");
+        file, e.getTagName() + "/" + name, "a number from " + min + " to " + max + " is needed");
   }
 }
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -30,8 +30,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(FleetManager.class);
   private static final long LIST_MS = 4_000;
   private static final long TYPES_MS = 30_000;
-  private static final long SILENT_MS = 2_000;
-  private static final long UNSEEN_MS = 12_000;
   private static final long MET_MS = 25_000;
   private static final long JUDGE_MS = 500;
   private static final long AGAIN_MS = 300;
@@ -44,8 +42,7 @@
   private final Fleet fleet;
   private final Budget writes;
   private final int maxOps;
-  private final long silentMs;
-  private final long unseenMs;
+  private final Watchman watchman;
   private final long term;
   private final long mark;
   private final Office office;
@@ -103,6 +100,7 @@
       CloudApi cloud,
       Site site,
       Ledger ledger,
+      Watchman watchman,
       Budget writes,
       int maxOps,
       long term,
@@ -115,10 +113,7 @@
     this.ledger = ledger;
     this.writes = writes;
     this.maxOps = maxOps;
-    // Reports come up to a quarter late. A machine that has missed one is hung, cut off or dead:
-    // the sooner it is returned, the sooner its tasks run elsewhere.
-    this.silentMs = (long) (site.settings.reportS() * 1500) + SILENT_MS;
-    this.unseenMs = Math.max(UNSEEN_MS, (long) (site.settings.reportS() * 3000));
+    this.watchman = watchman;
     this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
@@ -258,7 +253,8 @@
 
   private void judge() {
     if (!stopped && office.firm()) {
-      judgeSilent(loop.now());
+      watchman.judge(loop.now());
+      judgeExpected(loop.now());
       sendDeletes();
     }
   }
@@ -398,43 +394,13 @@
         });
   }
 
-  /** Machines that stay silent are returned: the deletion proves their tasks gone. */
-  private void judgeSilent(long now) {
-    int usable = 0;
-    int fresh = 0;
-    for (Machine m : ledger.machines()) {
-      if (m.reportedMs >= 0) {
-        usable++;
-        if (now - m.reportedMs < silentMs / 2) {
-          fresh++;
-        }
-      }
-    }
-    for (Machine m : ledger.machines()) {
-      if (m.returning) {
-        continue;
-      }
-      if (ledger.mustFence(m, now)) {
-        LOG.info("event=machine_unfenced machine={}", m.name);
-        m.returning = true;
-      }
-      if (m.reportedMs >= 0) {
-        // When most are silent the fault is rather on this side.
-        if (now - m.reportedMs > silentMs && 2 * fresh > usable) {
-          LOG.info("event=machine_silent machine={} ms={}", m.name, now - m.reportedMs);
-          m.returning = true;
-        }
-      } else if (now - m.sinceMs > unseenMs && (2 * fresh > usable || now - m.sinceMs > MET_MS)) {
-        LOG.info("event=machine_unseen machine={}", m.name);
-        m.returning = true;
-      }
-      if (m.draining && m.noticeMs == 0 && m.empty()) {
-        m.returning = true;
-      }
-    }
+  /** Machines that never report, though they are long up by the cloud's figures, are returned. */
+  private void judgeExpected(long now) {
     for (Expected e : expected.values().toArray(new Expected[0])) {
       long late = (long) (e.variant.type().bootS() * 2500) + 10_000;
-      if (now - e.rentedMs > late && now - e.metMs > MET_MS) {
+      if (now - e.rentedMs > late
+          && now - e.metMs > MET_MS
+          && !ledger.health().silence().cut(e.variant.zone())) {
         LOG.info("event=machine_never_came machine={}", e.name);
         Machine m = ledger.meet(e.name, e.variant.type(), e.variant.zone(), e.variant.spot(), now);
         if (m != null) {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -20,6 +20,7 @@
 import org.mallowroad.core.Placement;
 import org.mallowroad.core.Spending;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.Loop;
@@ -62,6 +63,7 @@
   private final Placement placement;
   private final Committer committer;
   private final FleetManager fleet;
+  private final Watchman watchman;
   private final Consumer<Job> onEnd;
   private final long startedMs;
   private final long deafMs;
@@ -101,7 +103,15 @@
     this.startedMs = loop.now();
     this.heardMs = startedMs;
     this.ledger =
-        new Ledger(term, site.settings.leaseS(), site.settings.reportS(), site.teams(), site.zones);
+        new Ledger(
+            term,
+            site.settings.leaseS(),
+            site.settings.reportS(),
+            site.teams(),
+            site.zones,
+            new Health(
+                site.operator.health(), site.zones.size(), site.settings.reportS(), startedMs));
+    this.watchman = new Watchman(ledger, site.settings, site.zones::name, term, startedMs);
     this.placement = new Placement(ledger);
     // A withdrawal told by another node must end tasks within cancel_s, so a leader that cannot
     // hear of it renews worker leases only as long as they still run out in time.
@@ -161,6 +171,7 @@
             cloud,
             site,
             ledger,
+            watchman,
             writes,
             maxOps,
             term,
@@ -209,9 +220,18 @@
   }
 
   void start() {
+    duties.add(loop.every(TICK_MS, this::beat));
     load();
   }
 
+  /**
+   * From the first moment on, or a takeover that waits for its lists would look like a standstill.
+   */
+  private void beat() {
+    watchman.turn(loop.now());
+    watchman.beat();
+  }
+
   void stop() {
     stopped = true;
     duties.forEach(Loop.Timer::cancel);
@@ -606,8 +626,10 @@
    */
   private boolean cutFromWorkers(long now) {
     double reports = heard ? 1.5 : 3;
+    // While this process stood still it heard nobody: that says nothing of the workers.
+    long listened = Math.max(heardMs, ledger.health().still().since());
     return site.settings.nodes() > 1
-        && now - heardMs > (long) (reports * site.settings.reportS() * 1000) + 2_000
+        && now - listened > (long) (reports * site.settings.reportS() * 1000) + 2_000
         && fleet.running() > (heard ? 0 : FEW_MACHINES);
   }
 
@@ -627,9 +649,10 @@
 
   /** Answers a report: null in place of orders means that this node must not answer for now. */
   void report(WorkerReport r, Consumer<ObjectNode> reply) {
+    watchman.turn(loop.now());
     heard = true;
     heardMs = loop.now();
-    if (deaf()) {
+    if (deaf() || watchman.unsure(election.renewedMs(), heardMs)) {
       reply.accept(null);
       return;
     }
@@ -651,6 +674,7 @@
       reply.accept(WorkerCodec.orders(term, List.of()));
       return;
     }
+    watchman.reported(m, loop.now());
     advance();
     if (!firm() || !ledger.mayGetWork(m, loop.now()) || !placement.anyWaiting()) {
       reply.accept(WorkerCodec.orders(term, orders));
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.mallowroad.api.Answerer;
 import org.mallowroad.api.Door;
 import org.mallowroad.api.Reply;
@@ -23,6 +24,7 @@
 import org.mallowroad.core.Job;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.HttpCaller;
@@ -105,7 +107,7 @@
             s.valueKb(),
             (int) (s.ramMb() * ENDS_PER_MB));
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
-    this.reports = new ReportApi(new NodeReports());
+    this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(loop, buffers, s.members(), new NodePeers());
     this.door = new Door(this::serve, reports, this::healthy, this::metrics, ram / 16);
     this.server =
@@ -151,6 +153,11 @@
     LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
   }
 
+  /** On which everything of this node runs. */
+  Loop loop() {
+    return loop;
+  }
+
   /** Where users and workers reach this node once it has started. */
   public String address() {
     return bound(0);
@@ -239,6 +246,12 @@
           n -> n.leader == null ? 0 : n.leader.ledger().urgent().size());
       gauge(
           "mallowroad.tasks.completed", n -> n.leader == null ? 0 : n.leader.ledger().completed());
+      gauge("mallowroad.machines.late", n -> n.watched(h -> h.silence().lateCount()));
+      gauge("mallowroad.machines.doubted", n -> n.watched(h -> h.paces().doubted()));
+      gauge("mallowroad.machines.slow.refused", n -> n.watched(h -> h.paces().refused()));
+      gauge("mallowroad.zones.cut", n -> n.watched(h -> h.silence().cuts()));
+      gauge("mallowroad.stood.still", n -> n.watched(h -> h.still().count()));
+      gauge("mallowroad.stood.still.longest.ms", n -> n.watched(h -> h.still().longestMs()));
       gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
       gauge("mallowroad.garbled.state", n -> n.state.wrong());
@@ -250,6 +263,11 @@
     return registry.scrape();
   }
 
+  /** What the leader on this node suspects; 0 elsewhere. */
+  private double watched(ToDoubleFunction<Health> f) {
+    return leader == null ? 0 : f.applyAsDouble(leader.ledger().health());
+  }
+
   /**
    * The process's memory as the system counts it, and what of it are the heap and the collector.
    */
@@ -264,7 +282,7 @@
     gauge("mallowroad.kept.callers", n -> n.workers.kept());
   }
 
-  private void gauge(String name, java.util.function.ToDoubleFunction<Node> f) {
+  private void gauge(String name, ToDoubleFunction<Node> f) {
     Gauge.builder(name, this, f).register(registry);
   }
 
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -0,0 +1,235 @@
+package org.mallowroad.controller;
+
+import java.util.function.IntFunction;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.health.Haste;
+import org.mallowroad.core.health.Health;
+import org.mallowroad.core.health.HealthPolicy;
+import org.mallowroad.core.health.MachineHealth;
+import org.mallowroad.core.health.MachineHealth.Doubt;
+import org.mallowroad.core.health.Silence;
+import org.mallowroad.core.health.StandStill;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Acts on what {@link Health} suspects: which silent or faulty machines are returned, and when. The
+ * deletion is the proof that frees their tasks; suspicion alone frees nothing.
+ *
+ * <p><b>Why a leader of term N that stood still does no harm once N+1 began</b>, for each thing
+ * that leaves this process. A freeze can fall between any check and the write after it, so no check
+ * of the clock alone is a proof; what holds is at the other side.
+ *
+ * <ul>
+ *   <li><i>Commits:</i> each carries the mark of {@code leader}, which N+1 changed: refused with
+ *       409.
+ *   <li><i>Launches and stops, sent directly:</i> carry token N. A worker that has seen N+1 refuses
+ *       them. One that has not may still start the attempt, but that was recorded before it was
+ *       sent, so N+1 read it on takeover and counts it until a report of a worker that has seen N+1
+ *       does not list it; from then on the worker refuses N.
+ *   <li><i>Answers to reports:</i> a worker gives an answer up after 4 s and drops lower tokens.
+ *       The lease that an answer with N renews is one that N+1 has no proof against: it counts from
+ *       the last report that it answered itself.
+ *   <li><i>Clearing an exited attempt:</i> sent only for what is committed (see {@code
+ *       Ledger.orphan}), so N+1 knows the result without the worker.
+ *   <li><i>Rents:</i> recorded under their name before the call; N+1 repeats every recorded name,
+ *       and a repeated name rents nothing more.
+ *   <li><i>Deletions:</i> decided by a firm leader only; a late one takes a machine, never a rule:
+ *       N+1 finds it gone by the cloud's answer, its list or the worker's lease.
+ *   <li><i>Answers to users:</i> come from a read or a transaction made for them; only final states
+ *       are remembered, and those do not change.
+ * </ul>
+ *
+ * Besides, so that it does not even try: {@code Leader.firm} measures from the sending of the last
+ * renewal that succeeded, on a clock that runs on through the standstill, so the first turn after
+ * one finds it false; workers are answered only once the lease has been asked for again; and
+ * silence counts anew, for this side did not listen.
+ */
+final class Watchman {
+  private static final Logger LOG = LoggerFactory.getLogger(Watchman.class);
+
+  private static final long SILENT_MS = 2_000;
+
+  /**
+   * After a standstill workers are turned away this long at the most until the lease is renewed.
+   */
+  private static final long UNSURE_MS = 1_500;
+
+  /** The share of a cut zone's machines that may be returned fills up again in so many leases. */
+  private static final double CUT_LEASES = 2;
+
+  /** Lines about single machines in each judgement. */
+  private static final int MOST_LINES = 20;
+
+  private final Ledger ledger;
+  private final Health health;
+  private final IntFunction<String> zones;
+  private final long term;
+  private final long silentMs;
+  private final long leaseMs;
+  private final Haste haste;
+  private final Haste[] zoneHaste;
+  private int lines;
+  private long leftOut;
+
+  Watchman(Ledger ledger, Settings s, IntFunction<String> zones, long term, long now) {
+    this.ledger = ledger;
+    this.health = ledger.health();
+    this.zones = zones;
+    this.term = term;
+    // Reports come up to a quarter late. A machine that has missed one is hung, cut off or dead:
+    // the sooner it is returned, the sooner its tasks run elsewhere.
+    this.silentMs = (long) (s.reportS() * 1500) + SILENT_MS;
+    this.leaseMs = (long) (s.leaseS() * 1000);
+    HealthPolicy p = health.policy();
+    this.haste = new Haste(p.hasteShare(), p.hasteLeast(), leaseMs, now);
+    this.zoneHaste = new Haste[s.zones().size()];
+    for (int z = 0; z < zoneHaste.length; z++) {
+      zoneHaste[z] = new Haste(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
+    }
+  }
+
+  /** Call with each turn of the loop and before each message is taken. */
+  void turn(long now) {
+    long ms = health.still().turn(now);
+    if (ms > 0) {
+      LOG.warn("event=stood_still term={} ms={}", term, ms);
+      health.silence().listen(now);
+    }
+  }
+
+  /** Call with each regular beat of the loop, after {@link #turn}. */
+  void beat() {
+    health.still().beat();
+  }
+
+  /**
+   * True while a standstill is so short ago that the lease has not been asked for since: another
+   * may lead, and an answer would hold workers here that it waits for. Bounded, since in an outage
+   * of the state service nobody else can lead and the answers keep the workers' leases alive.
+   */
+  boolean unsure(long renewedMs, long now) {
+    StandStill still = health.still();
+    return still.count() > 0 && renewedMs < still.since() && now - still.since() < UNSURE_MS;
+  }
+
+  /** What a report says of its machine's health besides that it was sent: costs its own tasks. */
+  void reported(Machine m, long now) {
+    int overdue = 0;
+    for (Attempt a : m.attempts()) {
+      if (a.stopping()) {
+        continue;
+      }
+      if (a.phase == Attempt.Phase.RUNNING && a.overdue(health.paces(), now)) {
+        overdue++;
+      } else if (a.phase == Attempt.Phase.PULLING) {
+        double needS = a.job.spec.imageGb() / Math.max(1e-3, m.type.fetchGbPerS());
+        health.fetching(m.health, now - a.sinceMs, (long) (needS * 1000), now);
+      }
+    }
+    health.overdue(m.health, overdue, now);
+  }
+
+  /** Judges zones and machines; what is to be returned is marked. Only a firm leader may ask. */
+  void judge(long now) {
+    lines = 0;
+    Silence silence = health.silence();
+    for (Silence.Verdict v : silence.judge(now)) {
+      LOG.warn(
+          "event={} zone={} silent={} of={} lasted_ms={}",
+          v.cut() ? "zone_silent" : "zone_back",
+          zones.apply(v.zone()),
+          v.late(),
+          v.known(),
+          v.lastedMs());
+    }
+    for (Health.Change c : health.changes()) {
+      line(c.machine().name, event(c.doubt()), Math.round(c.pace() * 100) / 100.0);
+    }
+    leftOut += health.unlogged();
+    for (Machine m : ledger.machines()) {
+      if (!m.returning) {
+        judge(m, silence, now);
+      }
+    }
+    if (leftOut > 0) {
+      LOG.info("event=machine_lines_left_out count={}", leftOut);
+      leftOut = 0;
+    }
+  }
+
+  private static String event(Doubt d) {
+    return switch (d) {
+      case SLOW -> "machine_slow";
+      case FAULTY -> "machine_faulty";
+      case NO_IMAGE -> "machine_without_image";
+      case NONE -> "machine_in_favour";
+    };
+  }
+
+  private void judge(Machine m, Silence silence, long now) {
+    if (ledger.mustFence(m, now)) {
+      m.returning = true;
+      line(m.name, "machine_unfenced", 0);
+    } else if (silence.silentMs(m.health, now) > silentMs) {
+      if (mayReturn(m, silence, now)) {
+        m.returning = true;
+        line(m.name, m.reportedMs < 0 ? "machine_unseen" : "machine_silent", now - m.reportedMs);
+      }
+    } else if (m.draining && m.noticeMs == 0 && m.empty()) {
+      m.returning = true;
+    } else if (!m.draining && worthDraining(m)) {
+      m.draining = true;
+      line(m.name, "machine_drained", Math.round(m.health.pace() * 100) / 100.0);
+    }
+  }
+
+  private boolean mayReturn(Machine m, Silence silence, long now) {
+    long ms = silence.silentMs(m.health, now);
+    int zone = m.zone;
+    if (silence.cut(zone)) {
+      // Nobody deletes a whole zone's machines in a hurry: they are needed when it is back. An
+      // empty
+      // one holds nothing up. Of the others a share goes at once, since its tasks run elsewhere
+      // sooner, and the tasks of the rest are free once their leases ran out. No lease proves that
+      // of machines that have not seen this term: their tasks only a deletion frees, so those go
+      // as fast as silent machines may go anywhere.
+      if (m.empty()) {
+        return false;
+      }
+      return m.tokenSeen < term
+          ? haste.take(ledger.machines().size(), now)
+          : zoneHaste[zone].take(silence.known(zone), now);
+    }
+    if (silence.deaf() && ms <= leaseMs) {
+      return false; // When most are silent the fault is rather on this side.
+    }
+    return haste.take(ledger.machines().size(), now);
+  }
+
+  /**
+   * A faulty machine is emptied and returned. A slow one that takes f times as long wastes (f-1)/f
+   * of its price for as long as the doubt lasts; a new one costs its boot.
+   */
+  private boolean worthDraining(Machine m) {
+    MachineHealth h = m.health;
+    if (h.doubt() == Doubt.FAULTY || h.doubt() == Doubt.NO_IMAGE) {
+      return true;
+    }
+    double f = h.pace();
+    return h.doubt() == Doubt.SLOW
+        && f > 1
+        && (f - 1) / f * health.policy().favourMs() > 1000 * m.type.bootS() * 1.5;
+  }
+
+  private void line(String machine, String event, Object figure) {
+    if (lines++ < MOST_LINES) {
+      LOG.info("event={} machine={} figure={}", event, machine, figure);
+    } else {
+      leftOut++;
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/core/Attempt.java
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -1,5 +1,7 @@
 package org.mallowroad.core;
 
+import org.mallowroad.core.health.Paces;
+
 /** One try to run one task on one machine; it takes room until it is proven gone. */
 public final class Attempt {
   /** How far an attempt has come. */
@@ -45,6 +47,9 @@
   /** True once a stop was sent straight to the worker. */
   boolean stopSent;
 
+  /** True when an earlier leader began it: when it began to run is not known then. */
+  boolean restored;
+
   /** True once its launch was sent in any way. */
   public boolean sent;
 
@@ -72,6 +77,11 @@
     return stopGraceS >= 0;
   }
 
+  /** True when it has run for several times as long as its peers did. */
+  public boolean overdue(Paces paces, long now) {
+    return runningSinceMs > 0 && paces.late(job.peers, now - runningSinceMs, job.spec.estimateS());
+  }
+
   /** How the worker names it. */
   String key() {
     return key(job.spec.id(), task, number);
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import org.mallowroad.core.health.Health;
 
 /**
  * Sizes the fleet: rents the cheapest fitting variant on averaged spare, before machines saturate,
@@ -60,11 +61,13 @@
   private long looked;
   private final Long2LongOpenHashMap refusedUntil = new Long2LongOpenHashMap();
   private final LongOpenHashSet probing = new LongOpenHashSet();
+  private final Health health;
 
   /** A fleet over a ledger. */
   public Fleet(Ledger ledger, FleetPolicy policy, Objectives objectives) {
     this.objectives = objectives;
     this.ledger = ledger;
+    this.health = ledger.health();
     this.policy = policy;
   }
 
@@ -86,7 +89,9 @@
 
   private boolean refused(Variant v, int taken, long now) {
     // After a refusal one call shows whether there is room again.
-    return refusedUntil.get(v.key()) > now || (taken >= MOST_A_CALL && probing.contains(v.key()));
+    return health.silence().cut(v.zone)
+        || refusedUntil.get(v.key()) > now
+        || (taken >= MOST_A_CALL && probing.contains(v.key()));
   }
 
   /**
@@ -149,14 +154,19 @@
       return waiting;
     }
     List<Slot> slots = new ArrayList<>();
+    Replaced away = new Replaced(health.policy().replaceShare());
     for (Machine m : ledger.machines()) {
-      if (m.usable()) {
+      // A slow machine is no room for urgent work, and goes back when it is empty.
+      if (m.usable() && !m.health.doubted() && !(health.away(m.health) && away.replaced())) {
         slots.add(Slot.of(m, now));
       }
     }
     int firstComing = slots.size();
     for (Coming c : coming) {
       for (int i = 0; i < c.count; i++) {
+        if (health.silence().cut(c.variant.zone) && away.replaced()) {
+          continue;
+        }
         slots.add(new Slot(c.variant, Math.max(now + SOON_MS, c.sinceMs + boot(c.variant))));
       }
     }
@@ -172,6 +182,29 @@
     return waiting;
   }
 
+  /**
+   * Which machines of cut zones are replaced: the stated share, spread evenly. The others are
+   * expected back, so work that waits for them rents nothing, or a fleet that is away for a moment
+   * would be rented twice.
+   */
+  private static final class Replaced {
+    private final double share;
+    private double due;
+
+    Replaced(double share) {
+      this.share = share;
+    }
+
+    boolean replaced() {
+      due += share;
+      if (due < 1) {
+        return false;
+      }
+      due--;
+      return true;
+    }
+  }
+
   /** Forecasts the starts of a job's tasks, and rents for those that would come too late. */
   private void place(
       Job job,
@@ -273,8 +306,9 @@
         continue;
       }
       for (int zone : t.zones()) {
-        if (refusedUntil.get(new Variant(t, zone, true).key()) <= now
-            || refusedUntil.get(new Variant(t, zone, false).key()) <= now) {
+        if (!health.silence().cut(zone)
+            && (refusedUntil.get(new Variant(t, zone, true).key()) <= now
+                || refusedUntil.get(new Variant(t, zone, false).key()) <= now)) {
           return true;
         }
       }
@@ -373,7 +407,7 @@
   boolean spareIsLow(int waiting, List<Coming> coming) {
     int n = 0;
     for (Machine m : ledger.machines()) {
-      if (m.usable()) {
+      if (m.usable() && !health.away(m.health)) {
         n++;
       }
     }
@@ -389,7 +423,7 @@
     double spare = 0;
     if (each < policy.waitingLimit()) {
       for (Machine m : ledger.machines()) {
-        if (m.usable() && m.booked() < policy.bookedLimit()) {
+        if (m.usable() && !health.away(m.health) && m.booked() < policy.bookedLimit()) {
           unsaturated++;
           spare += policy.bookedLimit() - m.booked();
         }
@@ -448,6 +482,9 @@
         continue;
       }
       for (int zone : t.zones()) {
+        if (health.silence().cut(zone)) {
+          continue; // Nothing there could report to this leader.
+        }
         for (int k = 0; k < 2; k++) {
           Variant v = new Variant(t, zone, k == 0);
           if (v.price() < price || (v.price() == price && refusedUntil.get(best.key()) > now)) {
@@ -484,7 +521,8 @@
       double dear = least * m.type.cpus() / Math.max(1e-9, m.type.price(m.spot));
       if (m.empty()) {
         idle++;
-        if (now - m.emptySinceMs >= policy.idleMs() * Math.min(1, dear)) {
+        if (now - m.emptySinceMs
+            >= (m.health.doubted() ? SOON_MS : policy.idleMs() * Math.min(1, dear))) {
           empty.add(m);
         }
       }
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.ints.IntArrayFIFOQueue;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.BitSet;
+import org.mallowroad.core.health.Peers;
 
 /** An accepted job and where its tasks are. */
 public final class Job {
@@ -19,6 +20,9 @@
   final IntArrayFIFOQueue pending = new IntArrayFIFOQueue();
   final int[] zoneLive;
 
+  /** How long its tasks took: the measure of the machines that run the others. */
+  final Peers peers;
+
   /** Machines on which a task of this job ended with an error. */
   final ObjectOpenHashSet<String> failedOn = new ObjectOpenHashSet<>();
 
@@ -54,6 +58,7 @@
     this.lastStartMs = submittedMs;
     this.spec = spec;
     this.mark = mark;
+    this.peers = new Peers(spec.tasks());
     this.number = new int[spec.tasks()];
     this.live = new Attempt[spec.tasks()];
     this.chunks = new Chunk[(spec.tasks() + Chunk.TASKS - 1) / Chunk.TASKS];
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.mallowroad.core.health.Health;
+import org.mallowroad.core.health.HealthPolicy;
 
 /**
  * Jobs, attempts and machines of one leader's term, and the sole answer to "may this task start?".
@@ -87,9 +89,23 @@
   private long completed;
   private long requeued;
   private final Spending spending = new Spending();
+  private final Health health;
 
-  /** An empty ledger for a term; machines whose report is overdue get no work. */
+  /** An empty ledger for a term that suspects by the default thresholds. */
   public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
+    this(
+        term,
+        leaseS,
+        reportS,
+        teams,
+        zones,
+        new Health(HealthPolicy.defaults(), zones.size(), reportS, 0));
+  }
+
+  /** An empty ledger for a term; machines whose report is overdue get no work. */
+  public Ledger(
+      long term, double leaseS, double reportS, List<Team> teams, Names zones, Health health) {
+    this.health = health;
     this.freshMs = (long) (reportS * 1250) + 1_500;
     this.term = term;
     // Clocks of two machines drift apart by up to 0.05%; half a second covers timers that fire
@@ -134,6 +150,8 @@
     sizes.put("urgent", urgent.size());
     sizes.put("outbox", outbox.size());
     sizes.put("ending", ending.size());
+    sizes.put("watched", health.silence().known());
+    sizes.put("classes", health.paces().classes());
     return sizes;
   }
 
@@ -195,6 +213,11 @@
     return requeued;
   }
 
+  /** What is suspected in this term. */
+  public Health health() {
+    return health;
+  }
+
   /** Where the money of this term went. */
   public Spending spending() {
     return spending;
@@ -242,6 +265,7 @@
       return;
     }
     Attempt a = new Attempt(job, task, number, machine, session, Attempt.Phase.READY, now);
+    a.restored = true;
     job.number[task] = Math.max(job.number[task], number);
     book(a);
     // A report of an earlier session must not look like news.
@@ -325,6 +349,7 @@
     if (m == null) {
       m = new Machine(name, type, zone, spot, now);
       machines.put(name, m);
+      health.met(m.health, now);
       machinesVersion++;
     }
     return m;
@@ -464,6 +489,17 @@
     touch(job, a.task, now);
     if (outcome == Outcome.DONE && !job.spec.service()) {
       completed++;
+      // What an earlier leader began was seen to run for a part of its time only; and a task that
+      // had completed before ends at once when it is started again.
+      if (a.runningSinceMs > 0 && !a.restored && a.number == 1) {
+        health.finished(
+            a.machine.health,
+            job.peers,
+            job.spec.taskClass(),
+            now - a.runningSinceMs,
+            job.spec.estimateS(),
+            now);
+      }
       job.done.set(a.task);
       job.failures = 0;
       if (!job.withdrawn && job.allDone()) {
@@ -479,6 +515,7 @@
         if (job.failedOn.size() < 3) {
           job.failedOn.add(a.machine.name);
         }
+        health.failed(a.machine.health, job.spec.id().hashCode(), job.failedOn.size() >= 3, now);
         holdBack(job, now);
       }
       case REFUSED, DONE -> {
@@ -524,7 +561,11 @@
     m.session = r.session();
     m.seq = r.seq();
     m.tokenSeen = Math.max(m.tokenSeen, r.token());
-    m.reportedMs = now;
+    if (m.health.late() && m.empty()) {
+      m.emptySinceMs = now; // Nobody could use it meanwhile: it is not idle for long.
+    }
+    // A report that waited while this process stood still is as old as the standstill.
+    m.reportedMs = health.heard(m.health, now);
     m.address = r.address();
     if (r.noticeS() >= 0) {
       m.noticeMs = now + (long) (r.noticeS() * 1000);
@@ -689,6 +730,7 @@
       resolve(a, Outcome.LOST, now);
     }
     machines.remove(m.name);
+    health.gone(m.health);
     spending.gone(m, now);
     machinesVersion++;
     outbox.remove(m);
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.ints.Int2DoubleLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import org.mallowroad.core.health.MachineHealth;
 
 /** A rented machine as the leader knows it. */
 public final class Machine {
@@ -18,6 +19,9 @@
   /** True for a spot machine. */
   public final boolean spot;
 
+  /** What is suspected of it; never a proof. */
+  public final MachineHealth health;
+
   /** Where its worker listens, once known. */
   public String address = "";
 
@@ -74,6 +78,7 @@
     this.zone = zone;
     this.spot = spot;
     this.free = new Room(type.cpus(), type.cards(), type.memGb());
+    this.health = new MachineHealth(name, zone);
     this.sinceMs = now;
     this.emptySinceMs = now;
   }
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -20,6 +20,9 @@
 
   private static final int PREEMPT_JOBS = 16;
 
+  /** Ranks up to this one are urgent: 0 is critical. */
+  private static final int URGENT = 1;
+
   /** Room that comes free by itself within this time is waited for. */
   private static final double WAIT_S = 4;
 
@@ -47,6 +50,11 @@
     return looked;
   }
 
+  /** Attempts looked at so far for what will end soon. */
+  long surveyed() {
+    return turnover.looked();
+  }
+
   /** Attempts stopped so far so that more important work gets room. */
   public long stops() {
     return stops;
@@ -215,12 +223,13 @@
       }
     }
     // Among machines of one price the fullest come first: what is left stays in one piece, for
-    // large tasks or to go back.
+    // large tasks or to go back. What is slow or faulty comes last of all.
     Arrays.sort(
         open,
         0,
         openCount,
-        Comparator.comparingDouble((Machine m) -> m.type.cpus())
+        Comparator.comparing((Machine m) -> m.health.doubted())
+            .thenComparingDouble(m -> m.type.cpus())
             .thenComparingDouble(m -> m.type.price(m.spot))
             .thenComparingDouble(m -> m.free.cpus));
   }
@@ -233,6 +242,7 @@
       looked++;
       if (!m.free.fits(s)
           || m.hasImage(s.image()) != cached
+          || avoids(s, m)
           || (job.failedOn.size() < 3 && job.failedOn.contains(m.name))) {
         continue;
       }
@@ -252,6 +262,11 @@
     }
   }
 
+  /** Urgent tasks and gangs do not go to a machine that is slow or faulty: many wait for them. */
+  private static boolean avoids(JobSpec s, Machine m) {
+    return m.health.doubted() && (s.priority() <= URGENT || s.gang());
+  }
+
   /** Places all waiting tasks of a gang or none of them. */
   private void placeGang(Job job, List<Attempt> made, long now) {
     JobSpec s = job.spec;
@@ -263,7 +278,7 @@
       List<Machine> places = new ArrayList<>();
       int[] inZone = job.zoneLive.clone();
       for (Machine m : order) {
-        if (s.together() && m.zone != zone) {
+        if ((s.together() && m.zone != zone) || avoids(s, m)) {
           continue;
         }
         Room room = new Room(m.free.cpus, m.free.cards, m.free.memGb);
@@ -319,6 +334,7 @@
           || !m.usable()
           || !s.allows(m.type.index(), m.zone, m.spot)
           || !m.type.fits(s)
+          || avoids(s, m)
           || (s.together() && job.liveCount > job.zoneLive[m.zone])
           || (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap())) {
         continue;
--- a/src/main/java/org/mallowroad/core/Spending.java
+++ b/src/main/java/org/mallowroad/core/Spending.java
@@ -4,10 +4,11 @@
 import java.util.Collection;
 
 /**
- * Where the money of a term went, by machine type and kind: boots, room that nobody used, starts and
- * fetches, work that was lost, work that completed. It is counted when a machine reports first, when
- * an attempt is proven gone and when a machine is, so it costs a few additions an event and lags by
- * what is still running. Prices are those of the moment; a machine met on takeover counts from then.
+ * Where the money of a term went, by machine type and kind: boots, room that nobody used, starts
+ * and fetches, work that was lost, work that completed. It is counted when a machine reports first,
+ * when an attempt is proven gone and when a machine is, so it costs a few additions an event and
+ * lags by what is still running. Prices are those of the moment; a machine met on takeover counts
+ * from then.
  */
 public final class Spending {
   private static final double MS_AN_HOUR = 3_600_000;
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -189,8 +189,7 @@
         txn,
         (result, revision, failed) -> {
           if (result == Result.OK) {
-            campaigning = false;
-            elected(newTerm, revision, id, sent);
+            confirm(newTerm, revision, id, sent);
           } else if (result == Result.UNKNOWN) {
             settle(id, newTerm, sent);
           } else {
@@ -212,11 +211,38 @@
             }
             return;
           }
-          campaigning = false;
           if (item.value() != null
               && item.value().path("node").asText().equals(node)
               && item.value().path("term").asLong() == newTerm) {
-            elected(newTerm, item.mark(), id, sent);
+            confirm(newTerm, item.mark(), id, sent);
+          } else {
+            campaigning = false;
+          }
+        });
+  }
+
+  /**
+   * A node that stood still while it was elected reads of it late: its lease may be over and
+   * another elected since. Then the lease is asked for first, and an office that is over is never
+   * begun.
+   */
+  private void confirm(long newTerm, long newMark, long id, long sent) {
+    if (loop.now() - sent < LIFE_MS) {
+      campaigning = false;
+      elected(newTerm, newMark, id, sent);
+      return;
+    }
+    long again = loop.now();
+    state.extend(
+        id,
+        RENEW_TIMEOUT_MS,
+        (result, lease) -> {
+          if (result == Result.OK) {
+            confirm(newTerm, newMark, id, again);
+          } else if (result == Result.NO || loop.now() - sent > 10 * LIFE_MS) {
+            campaigning = false;
+          } else {
+            loop.after(200, () -> confirm(newTerm, newMark, id, sent));
           }
         });
   }
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -13,6 +13,7 @@
 import org.mallowroad.config.Settings.Member;
 import org.mallowroad.net.HttpCaller;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 import org.slf4j.Logger;
@@ -30,6 +31,7 @@
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
+  private final Seldom garbled = Seldom.usual();
   private PeerCodec codec;
   private final List<HttpCaller> callers = new ArrayList<>();
   private final Listener listener;
@@ -121,8 +123,7 @@
                     return;
                   }
                 } catch (BadMessage e) {
-                  wrong++;
-                  LOG.warn("event=peer_garbled reason=\"{}\"", e.getMessage());
+                  garbled(e);
                 }
                 another();
               }
@@ -162,13 +163,20 @@
         x.endExchange();
       }
     } catch (BadMessage e) {
-      wrong++;
-      LOG.warn("event=peer_garbled reason=\"{}\"", e.getMessage());
+      garbled(e);
       x.setStatusCode(400);
       x.endExchange();
     }
   }
 
+  private void garbled(BadMessage e) {
+    wrong++;
+    long left = garbled.line(loop.now());
+    if (left >= 0) {
+      LOG.warn("event=peer_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
+    }
+  }
+
   private void answer(HttpServerExchange x, int status, ObjectNode body) {
     if (!x.isResponseStarted()) {
       byte[] b = codec().encode(new PeerCodec.Relayed(status, Json.bytes(body)));
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import org.mallowroad.net.HttpCaller;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -23,9 +24,11 @@
   private static final long TIMEOUT_MS = 1500;
 
   private final Loop loop;
+  private final Seldom garbled = Seldom.usual();
   private final HttpCaller caller;
   private final HttpCaller follower;
   private long contactMs = Long.MIN_VALUE / 2;
+  private long servedMs = Long.MIN_VALUE / 2;
   private long failedMs = Long.MIN_VALUE / 2;
   private long crowdedMs = Long.MIN_VALUE / 2;
   private long wrong;
@@ -82,14 +85,17 @@
     this.follower = follower;
   }
 
-  /** When the service last did what this node asked. */
+  /**
+   * When the newest call was sent that the service has done. Not when its answer was read: that may
+   * have waited in a socket while this process stood still, and says nothing of the time since.
+   */
   public long contactMs() {
     return contactMs;
   }
 
   /** True when the newest sign of the service is a failure of a moment ago. */
   public boolean failing() {
-    return failedMs > contactMs && loop.now() - failedMs < 3_000;
+    return failedMs > servedMs && loop.now() - failedMs < 3_000;
   }
 
   /** When the service last refused a call of this node for its limits. */
@@ -300,6 +306,8 @@
 
   /** Parses the body; what cannot be understood counts as no answer. */
   private abstract class Parsed implements HttpCaller.Answer {
+    private final long sentMs = loop.now();
+
     abstract void ok(int status, ObjectNode o) throws BadMessage;
 
     abstract void none(boolean sent);
@@ -307,7 +315,8 @@
     @Override
     public final void answered(int status, byte[] body) {
       if (status == 200 || status == 404 || status == 409 || status == 410) {
-        contactMs = loop.now();
+        contactMs = Math.max(contactMs, sentMs);
+        servedMs = loop.now();
       } else if (status == 503) {
         failedMs = loop.now();
       } else if (status == 429) {
@@ -333,7 +342,10 @@
 
     private void garbled(BadMessage e) {
       wrong++;
-      LOG.warn("event=state_garbled reason=\"{}\"", e.getMessage());
+      long left = garbled.line(loop.now());
+      if (left >= 0) {
+        LOG.warn("event=state_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
+      }
       none(true);
     }
 
--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -5,6 +5,8 @@
 import java.util.function.Consumer;
 import org.mallowroad.api.Reply;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -16,7 +18,9 @@
 public final class ReportApi {
   private static final Logger LOG = LoggerFactory.getLogger(ReportApi.class);
 
+  private final Loop loop;
   private final Reports reports;
+  private final Seldom garbled = Seldom.usual();
   private long wrong;
 
   /** What the node does with reports. */
@@ -35,7 +39,8 @@
   }
 
   /** Over the node. */
-  public ReportApi(Reports reports) {
+  public ReportApi(Loop loop, Reports reports) {
+    this.loop = loop;
     this.reports = reports;
   }
 
@@ -51,7 +56,10 @@
       r = WorkerCodec.decode(Json.parseObject(body));
     } catch (BadMessage e) {
       wrong++;
-      LOG.warn("event=report_garbled reason=\"{}\"", e.getMessage());
+      long left = garbled.line(loop.now());
+      if (left >= 0) {
+        LOG.warn("event=report_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
+      }
       Reply.error(x, 400, e.getMessage());
       return;
     }
--- a/src/main/java/org/mallowroad/worker/WorkerClient.java
+++ b/src/main/java/org/mallowroad/worker/WorkerClient.java
@@ -9,6 +9,7 @@
 import org.mallowroad.core.WorkerReport;
 import org.mallowroad.net.HttpCaller;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 import org.mallowroad.wire.WorkerCodec;
@@ -24,6 +25,7 @@
   private static final int MOST_BYTES = 64 * 1024;
 
   private final Loop loop;
+  private final Seldom odd = Seldom.usual();
   private final ByteBufferPool buffers;
   private final int maxWorkers;
   private final Object2ObjectLinkedOpenHashMap<String, HttpCaller> callers =
@@ -93,7 +95,11 @@
           public void answered(int status, byte[] body) {
             busy.remove(address);
             if (status != 200 && status != 409) {
-              LOG.warn("event=orders_refused address={} status={}", address, status);
+              long left = odd.line(loop.now());
+              if (left >= 0) {
+                LOG.warn(
+                    "event=orders_refused address={} status={} left_out={}", address, status, left);
+              }
               sent.sent(status == 400 ? Result.ANSWERED : Result.UNKNOWN, null);
               return;
             }
@@ -101,7 +107,10 @@
             try {
               r = WorkerCodec.decode(Json.parseObject(body));
             } catch (BadMessage e) {
-              LOG.warn("event=report_garbled reason=\"{}\"", e.getMessage());
+              long left = odd.line(loop.now());
+              if (left >= 0) {
+                LOG.warn("event=report_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
+              }
             }
             sent.sent(Result.ANSWERED, r);
           }
--- a/src/test/java/org/mallowroad/controller/KeptTest.java
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -142,6 +142,8 @@
       }
       site.keepNames(ledger);
     }
+    Map<String, Integer> tables = ledger.tables();
+    int classes = tables.remove("classes");
     assertEquals(
         Map.of(
             "jobs",
@@ -157,8 +159,12 @@
             "outbox",
             0,
             "ending",
-            0),
-        ledger.tables());
+            0,
+            "watched",
+            1),
+        tables);
+    // Classes that users make up do not pile up as measures of speed either.
+    assertTrue(classes <= 256, classes + " classes");
     // 72,000 names were made up; a day's worth is there at the most between two looks.
     assertTrue(site.names() < Site.MOST_NAMES, site.names() + " names");
     assertTrue(site.classes.find("named-in-settings") == 0);
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -17,6 +17,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -195,6 +197,34 @@
     assertEquals(0, cloud.ranTwice);
   }
 
+  @Test
+  void aLeaderThatStandsStillIsReplacedAndDoesNothingWhenItGoesOn() throws Exception {
+    cloud.taskMs = 800;
+    assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 12, 1)));
+    await("running tasks", () -> !cloud.running.isEmpty());
+    String first = state.leader();
+    long term = state.term();
+    // As a frozen host: the clocks run on, and what came meanwhile waits in the sockets.
+    CountDownLatch over = new CountDownLatch(1);
+    nodes.get(first).loop().soon(() -> pause(6_000, over));
+    addresses.remove(first);
+    await("another leader", () -> state.term() > term && state.leader() != null);
+    assertTrue(over.getCount() == 1, "replaced before it went on");
+    assertTrue(over.await(20, TimeUnit.SECONDS));
+    await("end of the job", () -> is("job-000001", "done"));
+    assertEquals(0, cloud.ranTwice);
+    assertTrue(state.term() == term + 1, "the one that stood still did not campaign");
+  }
+
+  private static void pause(long ms, CountDownLatch over) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    over.countDown();
+  }
+
   @Test
   void garbledAnswersAreSurvived() throws Exception {
     state.garbled = true;
--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/WatchmanTest.java
@@ -0,0 +1,286 @@
+package org.mallowroad.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Fleet;
+import org.mallowroad.core.FleetPolicy;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.Objectives;
+import org.mallowroad.core.Placement;
+import org.mallowroad.core.Specs;
+import org.mallowroad.core.Team;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.health.Health;
+import org.mallowroad.core.health.HealthPolicy;
+
+/** Many machines fall together: what is returned, what is rented, what is only waited for. */
+final class WatchmanTest {
+  private static final long TERM = 7;
+  private static final long LEASE_MS = 26_000;
+
+  /** Two zones of 20 machines that report every 4 s on virtual time, each with four tasks. */
+  private static final class World {
+    final Names zones = new Names();
+    final MachineType type =
+        new MachineType(0, "t4", 4, 0, 64, 100, 1, 1.0, 0.5, 30, new int[] {0, 1});
+    final Health health;
+    final Ledger ledger;
+    final Watchman watchman;
+    final Placement placement;
+    final Fleet fleet;
+    final List<Machine> machines = new ArrayList<>();
+    final Job job;
+    long seq;
+    long now = 1_000_000;
+
+    World(Settings settings, boolean takenOver) {
+      zones.intern("a");
+      zones.intern("b");
+      health = new Health(HealthPolicy.defaults(), 2, 4, now);
+      Team team = new Team("t", 1e6, 0, 1e6, 0);
+      ledger = new Ledger(TERM, 26, 4, List.of(team), zones, health);
+      watchman = new Watchman(ledger, settings, zones::name, TERM, now);
+      placement = new Placement(ledger);
+      fleet = new Fleet(ledger, FleetPolicy.defaults(), new Objectives());
+      job = ledger.accept(Specs.array("job-1", 160, 1).spot().build(), 5, 0, now);
+      for (int i = 0; i < 40; i++) {
+        machines.add(ledger.meet("n-" + i, type, i / 20, true, now));
+      }
+      if (takenOver) {
+        for (int t = 0; t < 160; t++) {
+          ledger.restoreAttempt(job, t, 1, machines.get(t / 4), 1, now);
+        }
+        ledger.restored(job, now);
+      } else {
+        pass(8_000, 0, 0);
+        assertEquals(160, placement.place(now).size());
+        Specs.commit(ledger, now);
+        pass(8_000, 0, 0);
+      }
+    }
+
+    void report(Machine m) {
+      List<WorkerReport.Entry> tasks = new ArrayList<>();
+      for (Attempt a : m.attempts()) {
+        tasks.add(
+            new WorkerReport.Entry(
+                a.job.spec.id(), a.task, a.number, WorkerReport.State.RUNNING, null));
+      }
+      WorkerReport r = new WorkerReport(m.name, "h:1", "t4", "a", true, 1, ++seq, TERM, -1, tasks);
+      ledger.report(m, r, true, now);
+      m.answeredMs = now;
+      watchman.reported(m, now);
+    }
+
+    /** Time passes; machines from {@code from} to {@code to} are not heard. */
+    void pass(long ms, int from, int to) {
+      for (long end = now + ms; now < end; now += 250) {
+        watchman.turn(now);
+        watchman.beat();
+        for (int i = 0; i < machines.size(); i++) {
+          Machine m = machines.get(i);
+          boolean heard = i < from || i >= to;
+          if (heard && !m.returning && (now / 250) % 16 == i % 16) {
+            report(m);
+          }
+        }
+        ledger.expireSilent(now);
+        watchman.judge(now);
+      }
+    }
+
+    int returned() {
+      int n = 0;
+      for (Machine m : machines) {
+        n += m.returning ? 1 : 0;
+      }
+      return n;
+    }
+
+    int rented() {
+      int n = 0;
+      for (Fleet.Rent r : fleet.rents(placement.queue(now), List.of(), List.of(type), now)) {
+        assertFalse(health.silence().cut(r.variant().zone()), "rented in a cut zone");
+        n += r.count();
+      }
+      return n;
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest day(String name, boolean takenOver, Case c) {
+    return DynamicTest.dynamicTest(
+        name,
+        () -> {
+          Path f = Files.createTempFile("settings", ".toml");
+          Files.writeString(
+              f,
+              """
+              node_name = "n"
+              site = "a"
+              listen = "127.0.0.1:0"
+              peer_listen = "127.0.0.1:0"
+              [outside]
+              cloud = "127.0.0.1:1"
+              state = "127.0.0.1:1"
+              [params]
+              zones = ["a", "b"]
+              [[params.teams]]
+              name = "t"
+              cpus = 1.0
+              cpus_max = 1.0
+              [params.workers]
+              report_s = 4.0
+              lease_s = 26.0
+              cancel_s = 51.0
+              [params.state]
+              rps = 100.0
+              write_rps = 30.0
+              value_kb = 8.0
+              txn_ops = 16
+              [params.cloud]
+              rps = 8.0
+              """);
+          Settings s = Settings.load(f.toString());
+          Files.delete(f);
+          c.run(new World(s, takenOver));
+        });
+  }
+
+  @TestFactory
+  Stream<DynamicTest> days() {
+    return Stream.of(
+        day(
+            "one silent machine is returned as soon as it has missed a report",
+            false,
+            w -> {
+              w.pass(4_000, 3, 4);
+              assertEquals(0, w.returned());
+              w.pass(9_000, 3, 4);
+              assertTrue(w.machines.get(3).returning);
+              assertEquals(1, w.returned());
+            }),
+        day(
+            "a cut zone keeps half of its machines; their tasks are free once the leases ran out",
+            false,
+            w -> {
+              w.pass(20_000, 0, 20);
+              int gone = w.returned();
+              assertTrue(gone >= 10 && gone <= 13, "returned " + gone);
+              assertEquals(0, w.job.waitingCount());
+              w.pass(13_000, 0, 20);
+              // No deletion is answered here: it is the leases that free them.
+              assertEquals(80, w.job.waitingCount());
+              gone = w.returned();
+              assertTrue(gone <= 14, "returned " + gone);
+              // Back: the same machines are used again.
+              w.pass(10_000, 0, 0);
+              assertEquals(4 * (20 - gone), w.placement.place(w.now).size());
+              assertEquals(gone, w.returned());
+            }),
+        day(
+            "for what a cut zone keeps at most half as much is rented, and elsewhere",
+            false,
+            w -> {
+              w.pass(33_000, 0, 20);
+              assertEquals(80, w.job.waitingCount());
+              int kept = 20 - w.returned();
+              int rented = w.rented();
+              assertTrue(kept >= 6, "kept " + kept);
+              assertTrue(rented >= 20 - kept && rented <= 20 - kept / 2, "rented " + rented);
+            }),
+        day(
+            "what no lease can free, in a zone away since before the term, goes at an even pace",
+            true,
+            w -> {
+              w.pass(20_000, 0, 20);
+              int first = w.returned();
+              assertTrue(first >= 14 && first <= 19, "returned " + first);
+              assertEquals(0, w.job.waitingCount());
+              w.pass(40_000, 0, 20);
+              assertEquals(20, w.returned());
+            }),
+        day(
+            "half a fleet that hung to just within its lease is not returned, nor rented twice",
+            false,
+            w -> {
+              w.pass(LEASE_MS - 5_000, 10, 30);
+              // Of the twenty a share goes and what fills up until they are back; the rest is kept.
+              assertTrue(w.returned() <= 20, "returned " + w.returned());
+              assertEquals(0, w.rented());
+              w.pass(3_000, 0, 0);
+              int gone = w.returned();
+              w.pass(20_000, 0, 0);
+              assertEquals(gone, w.returned());
+            }),
+        day(
+            "when nobody is heard nobody is returned before the leases ran out",
+            false,
+            w -> {
+              w.pass(LEASE_MS - 5_000, 0, 40);
+              assertEquals(0, w.returned());
+              w.pass(60_000, 0, 40);
+              assertTrue(w.returned() > 0);
+            }),
+        day(
+            "a leader that stood still returns nobody for it, and asks before it answers",
+            false,
+            w -> {
+              long renewed = w.now;
+              w.now += 20_000;
+              w.watchman.turn(w.now);
+              assertTrue(w.watchman.unsure(renewed, w.now));
+              assertFalse(w.watchman.unsure(w.now + 10, w.now + 20), "renewed since");
+              // In an outage nobody can be asked: the answers go on, so that leases live.
+              assertFalse(w.watchman.unsure(renewed, w.now + 1_500));
+              w.pass(4_500, 0, 40);
+              assertEquals(0, w.returned());
+              w.pass(20_000, 0, 0);
+              assertEquals(0, w.returned());
+            }),
+        day(
+            "a freeze that ends as the leases end, in a cut: the cut is seen again, nobody hurries",
+            false,
+            w -> {
+              w.pass(3_000, 0, 20);
+              w.now += LEASE_MS - 3_000;
+              w.pass(9_000, 0, 20);
+              assertEquals(0, w.returned());
+              w.pass(10_000, 0, 20);
+              assertTrue(w.health.silence().cut(0));
+              assertTrue(w.returned() <= 11, "returned " + w.returned());
+            }),
+        day(
+            "a wave of taken machines in the zone that is left is dealt with in spite of the cut",
+            false,
+            w -> {
+              w.pass(6_000, 0, 20);
+              assertTrue(w.health.silence().cut(0));
+              w.pass(14_000, 0, 26);
+              int taken = 0;
+              for (int i = 20; i < 26; i++) {
+                taken += w.machines.get(i).returning ? 1 : 0;
+              }
+              assertEquals(6, taken);
+              assertTrue(w.returned() <= 6 + 13, "returned " + w.returned());
+            }));
+  }
+}
--- a/src/test/java/org/mallowroad/core/ScaleTest.java
+++ b/src/test/java/org/mallowroad/core/ScaleTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.health.Silence;
 import org.mallowroad.state.Records;
 import org.mallowroad.wire.Json;
 
@@ -107,6 +108,38 @@
               }
               atMost(MACHINES * (16 + 4), w.placement.looked() - before);
             }),
+        scale(
+            "what will end soon is looked at once for all jobs that wait, not once a job",
+            w -> {
+              w.jobs(2);
+              w.placement.place(w.now);
+              w.commit();
+              w.jobs(1);
+              w.now += 2_000;
+              long before = w.placement.surveyed();
+              for (int pass = 0; pass < 4; pass++) {
+                w.placement.place(w.now + 50 * pass);
+              }
+              assertEquals(MACHINES * 8, w.placement.surveyed() - before);
+            }),
+        scale(
+            "silence is judged from the machines that are late, not from the fleet",
+            w -> {
+              Silence s = w.ledger.health().silence();
+              for (int i = 0; i < 100; i++) {
+                s.judge(w.now + 10 * i);
+              }
+              atMost(100, s.looked());
+              for (Machine m : w.ledger.machines()) {
+                if (!m.name.endsWith("7")) {
+                  w.ledger.health().heard(m.health, w.now + 6_000);
+                }
+              }
+              long before = s.looked();
+              s.judge(w.now + 6_000);
+              assertEquals(MACHINES / 10, s.lateCount());
+              atMost(MACHINES / 10 + 1, s.looked() - before);
+            }),
         scale(
             "a forecast looks at the fleet once a job, not once a task",
             w -> {
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/TakeoverPaceTest.java
@@ -0,0 +1,62 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** docs/incidents/2026-12-01-slow-after-a-takeover.md: half seen runs are no measure of speed. */
+final class TakeoverPaceTest {
+  private final Names zones = new Names();
+  private final MachineType type =
+      new MachineType(0, "t8", 8, 0, 64, 100, 1, 1.0, 0.5, 30, new int[] {0});
+  private long seq;
+
+  private Machine report(Ledger ledger, Machine m, WorkerReport.State state, long now) {
+    List<WorkerReport.Entry> tasks = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      String why = state == WorkerReport.State.EXITED ? "done" : null;
+      tasks.add(new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, state, why));
+    }
+    ledger.report(
+        m, new WorkerReport(m.name, "h:1", "t8", "a", true, 1, ++seq, 2, -1, tasks), true, now);
+    return m;
+  }
+
+  @Test
+  void whatAnEarlierLeaderBeganMakesNobodySlow() {
+    zones.intern("a");
+    Ledger ledger = new Ledger(2, 26, 4, List.of(new Team("t", 1e6, 0, 1e6, 0)), zones);
+    long now = 1_000_000;
+    Job job = ledger.accept(Specs.array("job-1", 80, 1).spot().build(), 5, 0, now);
+    List<Machine> machines = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      machines.add(ledger.meet("n-" + i, type, 0, true, now));
+    }
+    for (int t = 0; t < 40; t++) {
+      ledger.restoreAttempt(job, t, 1, machines.get(t / 8), 1, now);
+    }
+    ledger.restored(job, now);
+    for (Machine m : machines) {
+      report(ledger, m, WorkerReport.State.RUNNING, now);
+    }
+    // The restored half ends a second after the takeover, the other half runs its ordinary minute.
+    for (int t = 40; t < 80; t++) {
+      ledger.start(job, t, machines.get(t / 8), now);
+    }
+    Specs.commit(ledger, now);
+    for (int i = 5; i < 10; i++) {
+      report(ledger, machines.get(i), WorkerReport.State.RUNNING, now);
+    }
+    for (int i = 0; i < 5; i++) {
+      report(ledger, machines.get(i), WorkerReport.State.EXITED, now + 1_000);
+    }
+    for (int i = 5; i < 10; i++) {
+      report(ledger, machines.get(i), WorkerReport.State.EXITED, now + 60_000);
+    }
+    assertEquals(80, job.doneCount());
+    assertEquals(0, ledger.health().paces().doubted());
+    assertEquals(0, ledger.health().paces().refused());
+  }
+}
