--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -111,7 +111,9 @@
             site.zones,
             new Health(
                 site.operator.health(), site.zones.size(), site.settings.reportS(), startedMs));
-    this.watchman = new Watchman(ledger, site.settings, site.zones::name, term, startedMs);
+    this.watchman =
+        new Watchman(
+            ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
     this.placement = new Placement(ledger);
     // A withdrawal told by another node must end tasks within cancel_s, so a leader that cannot
     // hear of it renews worker leases only as long as they still run out in time.
--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -1,10 +1,9 @@
 package org.mallowroad.controller;
 
-import java.util.function.IntFunction;
-import org.mallowroad.config.Settings;
 import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
+import org.mallowroad.core.Names;
 import org.mallowroad.core.health.Haste;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.core.health.HealthPolicy;
@@ -66,7 +65,7 @@
 
   private final Ledger ledger;
   private final Health health;
-  private final IntFunction<String> zones;
+  private final Names zones;
   private final long term;
   private final long silentMs;
   private final long leaseMs;
@@ -75,18 +74,19 @@
   private int lines;
   private long leftOut;
 
-  Watchman(Ledger ledger, Settings s, IntFunction<String> zones, long term, long now) {
+  /** For workers that report every {@code reportS} and hold leases of {@code leaseS}. */
+  Watchman(Ledger ledger, Names zones, double reportS, double leaseS, long term, long now) {
     this.ledger = ledger;
     this.health = ledger.health();
     this.zones = zones;
     this.term = term;
     // Reports come up to a quarter late. A machine that has missed one is hung, cut off or dead:
     // the sooner it is returned, the sooner its tasks run elsewhere.
-    this.silentMs = (long) (s.reportS() * 1500) + SILENT_MS;
-    this.leaseMs = (long) (s.leaseS() * 1000);
+    this.silentMs = (long) (reportS * 1500) + SILENT_MS;
+    this.leaseMs = (long) (leaseS * 1000);
     HealthPolicy p = health.policy();
     this.haste = new Haste(p.hasteShare(), p.hasteLeast(), leaseMs, now);
-    this.zoneHaste = new Haste[s.zones().size()];
+    this.zoneHaste = new Haste[zones.size()];
     for (int z = 0; z < zoneHaste.length; z++) {
       zoneHaste[z] = new Haste(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
     }
@@ -141,7 +141,7 @@
       LOG.warn(
           "event={} zone={} silent={} of={} lasted_ms={}",
           v.cut() ? "zone_silent" : "zone_back",
-          zones.apply(v.zone()),
+          zones.name(v.zone()),
           v.late(),
           v.known(),
           v.lastedMs());
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -23,6 +23,11 @@
   /** Ranks up to this one are urgent: 0 is critical. */
   private static final int URGENT = 1;
 
+  private static final int CRITICAL = 0;
+
+  /** A task that has been started more often is not stopped again, except for critical work. */
+  private static final int MOST_TRIES = 3;
+
   /** Room that comes free by itself within this time is waited for. */
   private static final double WAIT_S = 4;
 
@@ -427,6 +432,9 @@
     }
     int theirs = a.job.spec.priority();
     int ours = by.spec.priority();
+    if (a.number > MOST_TRIES && ours > CRITICAL) {
+      return false; // Else a lasting flood of urgent work could stop the same task for ever.
+    }
     if (theirs > ours) {
       return true;
     }
--- a/src/main/java/org/mallowroad/core/health/Haste.java
+++ b/src/main/java/org/mallowroad/core/health/Haste.java
@@ -13,7 +13,6 @@
   private final double refillMs;
   private double used;
   private long atMs;
-  private long refused;
 
   /** A share of the fleet, and {@code least} machines in any case, in each {@code refillMs}. */
   public Haste(double share, int least, double refillMs, long now) {
@@ -29,15 +28,9 @@
     used = Math.max(0, used - most * (now - atMs) / refillMs);
     atMs = now;
     if (used + 1 > most) {
-      refused++;
       return false;
     }
     used++;
     return true;
   }
-
-  /** Returns that had to wait, counted at each look. */
-  public long refused() {
-    return refused;
-  }
 }
--- a/src/main/java/org/mallowroad/core/health/Silence.java
+++ b/src/main/java/org/mallowroad/core/health/Silence.java
@@ -9,8 +9,8 @@
  * Who has not been heard, and what the shape of the silence says. One silent machine is dead, hung
  * or cut off. Many that fall silent while others of their zone go on were taken or died. A zone of
  * which nobody at all is heard, while the other zones go on, is cut off: with a hundred machines
- * that report every few seconds a second or two without a single report says it, long before any
- * one of them is overdue. Silence everywhere is rather this side's fault.
+ * that report every few seconds three without a single report say it, before most of them are
+ * overdue. Silence everywhere is rather this side's fault.
  *
  * <p>Machines are kept in the order in which they were last heard, so a judgement costs the late
  * ones only.
@@ -25,7 +25,11 @@
    */
   private static final double MISSED = 12;
 
-  private static final long QUIET_MS = 1_500;
+  /**
+   * And not before this part of a report's time: arrivals are not quite at random, since machines
+   * that came up together report together.
+   */
+  private static final double QUIET_REPORTS = 0.75;
 
   /** What a judgement says of a zone. */
   public record Verdict(int zone, boolean cut, int late, int known, long lastedMs) {}
@@ -55,6 +59,7 @@
     this.sinceMs = new long[zones];
     this.zoneHeardMs = new long[zones];
     Arrays.fill(zoneHeardMs, now);
+    Arrays.fill(sinceMs, now);
     this.listeningMs = now;
   }
 
@@ -202,7 +207,7 @@
   }
 
   private long quietMs(int z) {
-    return (long) Math.max(QUIET_MS, MISSED * reportMs / Math.max(1, known[z]));
+    return (long) Math.max(QUIET_REPORTS * reportMs, MISSED * reportMs / Math.max(1, known[z]));
   }
 
   /**
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -95,6 +95,16 @@
         1_000);
   }
 
+  /** A report that lists all of a machine's attempts in one state. */
+  public static WorkerReport report(Machine m, long seq, long token, WorkerReport.State state) {
+    List<WorkerReport.Entry> tasks = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      String why = state == WorkerReport.State.EXITED ? "done" : null;
+      tasks.add(new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, state, why));
+    }
+    return new WorkerReport(m.name, "h:1", m.type.name(), "a", m.spot, 1, seq, token, -1, tasks);
+  }
+
   /** Commits all that is dirty, with every start in it. */
   public static void commit(Ledger ledger, long now) {
     for (Chunk c : new ArrayList<>(ledger.dirty())) {
