--- a/src/test/java/org/mallowroad/config/SettingsTest.java
+++ b/src/test/java/org/mallowroad/config/SettingsTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.mallowroad.core.FleetPolicy;
+import org.mallowroad.core.health.HealthPolicy;
 
 /** Settings files: unknown fields are ignored, wrong ones named. */
 final class SettingsTest {
@@ -91,6 +93,8 @@
       value = {
         "<mallowroad><fleet cycle-s='0'/></mallowroad>|fleet/cycle-s",
         "<mallowroad><fleet booked-limit='x'/></mallowroad>|fleet/booked-limit",
+        "<mallowroad><health slow-factor='0.5'/></mallowroad>|health/slow-factor",
+        "<mallowroad><health still-s='none'/></mallowroad>|health/still-s",
         "<other/>|other",
         "<mallowroad>|file",
       })
@@ -106,5 +110,10 @@
     Path f = dir.resolve("o.xml");
     Files.writeString(f, "<mallowroad><fleet cycle-s='5' unknown='1'/></mallowroad>");
     assertEquals(5_000, OperatorSettings.load(f.toString()).fleet().cycleMs());
+    Files.writeString(f, "<mallowroad><health favour-s='7' unknown='1'/></mallowroad>");
+    OperatorSettings o = OperatorSettings.load(f.toString());
+    assertEquals(7_000, o.health().favourMs());
+    assertEquals(HealthPolicy.defaults().cutLeast(), o.health().cutLeast());
+    assertEquals(FleetPolicy.defaults(), o.fleet());
   }
 }
