A dead zone opens again, a fetch that never ends is stopped, no key shared by two zones

Cause, found by rereading the change: a cut zone's empty machines were never returned, so a zone whose machines were all gone stayed cut and closed to rents until the leader changed; a machine without its image was to be emptied but kept the fetching task; Turnover's key held 64 zones only, where Fleet.Variant's has no such bound. Change: empty machines of a cut zone go out of its bucket after three leases, zones of fewer machines than are judged are not cut, fetches on a drained machine are stopped, Turnover uses Fleet.Variant.

--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -60,6 +60,9 @@
   /** The share of a cut zone's machines that may be returned fills up again in so many leases. */
   private static final double CUT_LEASES = 2;
 
+  /** An empty machine of a cut zone is kept for so many leases. */
+  private static final double HOLD_LEASES = 3;
+
   /** Lines about single machines in each judgement. */
   private static final int MOST_LINES = 20;
 
@@ -183,6 +186,7 @@
       m.returning = true;
     } else if (!m.draining && worthDraining(m)) {
       m.draining = true;
+      stopFetches(m, now);
       line(m.name, "machine_drained", Math.round(m.health.pace() * 100) / 100.0);
     }
   }
@@ -191,18 +195,18 @@
     long ms = silence.silentMs(m.health, now);
     int zone = m.zone;
     if (silence.cut(zone)) {
-      // Nobody deletes a whole zone's machines in a hurry: they are needed when it is back. An
-      // empty
-      // one holds nothing up. Of the others a share goes at once, since its tasks run elsewhere
-      // sooner, and the tasks of the rest are free once their leases ran out. No lease proves that
-      // of machines that have not seen this term: their tasks only a deletion frees, so those go
-      // as fast as silent machines may go anywhere.
-      if (m.empty()) {
-        return false;
+      // Nobody deletes a whole zone's machines in a hurry: they are needed when it is back. Of
+      // those
+      // with tasks a share goes at once, since the tasks run elsewhere sooner; the rest are free
+      // once their leases ran out. No lease proves that of machines that have not seen this term:
+      // their tasks only a deletion frees, so those go as fast as silent machines go anywhere.
+      if (!m.empty() && m.tokenSeen < term) {
+        return haste.take(ledger.machines().size(), now);
       }
-      return m.tokenSeen < term
-          ? haste.take(ledger.machines().size(), now)
-          : zoneHaste[zone].take(silence.known(zone), now);
+      // An empty one holds nothing up, but it may be gone for good: kept for ever it would hold the
+      // zone cut, and nothing would be rented there any more.
+      return (!m.empty() || ms > HOLD_LEASES * leaseMs)
+          && zoneHaste[zone].take(silence.known(zone), now);
     }
     if (silence.deaf() && ms <= leaseMs) {
       return false; // When most are silent the fault is rather on this side.
@@ -225,6 +229,15 @@
         && (f - 1) / f * health.policy().favourMs() > 1000 * m.type.bootS() * 1.5;
   }
 
+  /** A fetch that never ends would keep its task, and the machine from being empty, for ever. */
+  private void stopFetches(Machine m, long now) {
+    for (Attempt a : m.attempts()) {
+      if (a.phase == Attempt.Phase.PULLING) {
+        ledger.stop(a, 0, now);
+      }
+    }
+  }
+
   private void line(String machine, String event, Object figure) {
     if (lines++ < MOST_LINES) {
       LOG.info("event={} machine={} figure={}", event, machine, figure);
--- a/src/main/java/org/mallowroad/core/Turnover.java
+++ b/src/main/java/org/mallowroad/core/Turnover.java
@@ -1,6 +1,6 @@
 package org.mallowroad.core;
 
-import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -23,16 +23,12 @@
   /** Ends expected of one job's tasks on one type, zone and kind of machine. */
   private static final class Ends {
     private final JobSpec job;
-    private final MachineType type;
-    private final int zone;
-    private final boolean spot;
+    private final Fleet.Variant on;
     private double expected;
 
-    Ends(JobSpec job, Machine m) {
+    Ends(JobSpec job, Fleet.Variant on) {
       this.job = job;
-      this.type = m.type;
-      this.zone = m.zone;
-      this.spot = m.spot;
+      this.on = on;
     }
   }
 
@@ -55,7 +51,7 @@
   void survey(Iterable<Job> jobs, long now) {
     ends.clear();
     claimed = 0;
-    Int2ObjectOpenHashMap<Ends> here = new Int2ObjectOpenHashMap<>();
+    Long2ObjectOpenHashMap<Ends> here = new Long2ObjectOpenHashMap<>();
     for (Job j : jobs) {
       if (j.liveCount == 0 || j.spec.service()) {
         continue;
@@ -69,11 +65,11 @@
         double p = probability(a, now);
         if (p > 0 && a.machine.usable()) {
           Machine m = a.machine;
-          int key = (m.type.index() * 64 + m.zone) * 2 + (m.spot ? 1 : 0);
-          Ends e = here.get(key);
+          Fleet.Variant on = new Fleet.Variant(m.type, m.zone, m.spot);
+          Ends e = here.get(on.key());
           if (e == null) {
-            e = new Ends(j.spec, m);
-            here.put(key, e);
+            e = new Ends(j.spec, on);
+            here.put(on.key(), e);
             ends.add(e);
           }
           e.expected += p;
@@ -99,7 +95,7 @@
   int coming(JobSpec s, int most) {
     double tasks = 0;
     for (Ends e : ends) {
-      if (s.allows(e.type.index(), e.zone, e.spot)) {
+      if (s.allows(e.on.type().index(), e.on.zone(), e.on.spot())) {
         tasks += e.expected * holds(e.job, s);
       }
     }
--- a/src/main/java/org/mallowroad/core/health/Paces.java
+++ b/src/main/java/org/mallowroad/core/health/Paces.java
@@ -56,7 +56,10 @@
     return doubted;
   }
 
-  /** Machines that were not held slow because too many others were: the sign of a slow day. */
+  /**
+   * Times a machine was not held slow because too many others were, counted at each judgement: the
+   * sign of a slow day.
+   */
   public long refused() {
     return refused;
   }
--- a/src/main/java/org/mallowroad/core/health/Peers.java
+++ b/src/main/java/org/mallowroad/core/health/Peers.java
@@ -33,10 +33,8 @@
       ring = new double[KEPT];
     }
     ring[n % KEPT] = x;
-    n =
-        n + 1 == 2 * KEPT
-            ? KEPT
-            : n + 1; // The ring is full and stays so; the count never overflows.
+    // The ring is full and stays so: the count never overflows.
+    n = n + 1 == 2 * KEPT ? KEPT : n + 1;
     stale = true;
   }
 
--- a/src/main/java/org/mallowroad/core/health/Silence.java
+++ b/src/main/java/org/mallowroad/core/health/Silence.java
@@ -198,7 +198,7 @@
 
   /** A cut is over when the zone is heard again, and most of its machines are, or are returned. */
   private boolean stays(int z, long now) {
-    return known[z] > 0 && (quiet(z, now) || 2 * late[z] > known[z]);
+    return known[z] >= policy.cutLeast() && (quiet(z, now) || 2 * late[z] > known[z]);
   }
 
   /** Nobody of the zone was heard for so long that it is no chance. */
--- a/src/test/java/org/mallowroad/controller/WatchmanTest.java
+++ b/src/test/java/org/mallowroad/controller/WatchmanTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Fleet;
 import org.mallowroad.core.FleetPolicy;
 import org.mallowroad.core.Job;
@@ -42,6 +43,7 @@
     final List<Machine> machines = new ArrayList<>();
     final Job job;
     long seq;
+    Machine pulling;
     long now = 1_000_000;
 
     World(boolean takenOver) {
@@ -71,7 +73,15 @@
     }
 
     void report(Machine m) {
-      ledger.report(m, Specs.report(m, ++seq, TERM, WorkerReport.State.RUNNING), true, now);
+      ledger.report(
+          m,
+          Specs.report(
+              m,
+              ++seq,
+              TERM,
+              m == pulling ? WorkerReport.State.PULLING : WorkerReport.State.RUNNING),
+          true,
+          now);
       m.answeredMs = now;
       watchman.reported(m, now);
     }
@@ -172,6 +182,36 @@
               w.pass(40_000, 0, 20);
               assertEquals(20, w.returned());
             }),
+        day(
+            "a zone whose machines are gone for good opens again, and is rented in",
+            false,
+            w -> {
+              for (int i = 0; i < 10; i++) {
+                w.pass(60_000, 0, 20);
+                // The cloud answers the deletions.
+                for (Machine m : List.copyOf(w.ledger.machines())) {
+                  if (m.returning) {
+                    w.ledger.machineGone(m, w.now);
+                  }
+                }
+              }
+              assertEquals(0, w.health.silence().cuts());
+              w.ledger.accept(Specs.array("job-2", 8, 1).zone(0).spot().build(), 5, 0, w.now);
+              assertTrue(w.rented() > 0);
+            }),
+        day(
+            "a fetch that never ends is stopped, so that its machine can go and its task start again",
+            false,
+            w -> {
+              Machine m = w.machines.get(3);
+              w.pulling = m;
+              w.pass(60_000, 0, 0);
+              assertTrue(m.draining);
+              for (Attempt a : m.attempts()) {
+                assertTrue(a.stopping());
+              }
+              assertEquals(1, w.health.paces().doubted());
+            }),
         day(
             "half a fleet that hung to just within its lease is not returned, nor rented twice",
             false,
