--- /dev/null
+++ b/src/main/java/org/mallowroad/cli/Look.java
@@ -0,0 +1,138 @@
+package org.mallowroad.cli;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.mallowroad.config.BadSettings;
+import org.mallowroad.console.ask.Asker;
+import org.mallowroad.console.report.Report;
+import org.mallowroad.console.view.Overview;
+import org.mallowroad.console.view.Screen;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.explain.Reason;
+import org.mallowroad.wire.ConsoleCodec;
+import org.mallowroad.wire.JobCodec;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Commands that look at a site and change nothing. Exit codes: 0 seen, 1 no such job, 2 a wrong
+ * option or file, 3 neither a node nor the state service answers.
+ */
+abstract class Look implements Callable<Integer> {
+  @Mixin private Where where;
+
+  @Override
+  public final Integer call() throws IOException {
+    try (Asker asker = where.asker()) {
+      return look(asker);
+    } catch (BadSettings e) {
+      System.err.println("mallowroad: " + e.getMessage());
+      return 2;
+    }
+  }
+
+  abstract int look(Asker asker) throws IOException;
+
+  /** The code for a look that nobody answered, else 0. */
+  static int code(Overview o) {
+    return o.nodes().stream().allMatch(n -> n.sight() == null) && !o.recorded().read() ? 3 : 0;
+  }
+
+  static void print(List<String> lines) {
+    lines.forEach(l -> System.out.println(l.stripTrailing()));
+  }
+
+  /** Shows why a job waits. */
+  @Command(
+      name = "why",
+      mixinStandardHelpOptions = true,
+      description = "Shows why a job's tasks wait, what would let them go on, and where they are.")
+  static final class Why extends Look {
+    @Parameters(paramLabel = "JOB", description = "The job's id.")
+    private String id;
+
+    @Option(names = "--json", description = "As JSON.")
+    private boolean json;
+
+    @Override
+    int look(Asker asker) {
+      if (!JobCodec.ID.matcher(id).matches()) {
+        System.err.println("mallowroad: not a job id (they look like job-000412)");
+        return 2;
+      }
+      Overview o = asker.look();
+      JobLine line = o.jobs().stream().filter(j -> j.id().equals(id)).findFirst().orElse(null);
+      JobPicture p = o.obstacle().isEmpty() ? asker.job(id) : null;
+      if (p == null && line != null) {
+        String remedy = line.reason().isEmpty() ? "" : Reason.valueOf(line.reason()).remedy();
+        p = new JobPicture(id, line, remedy, List.of(), 0);
+      }
+      if (p == null) {
+        int code = code(o);
+        System.err.println(
+            code != 0
+                ? "mallowroad: neither a node nor the state service answers"
+                : "mallowroad: "
+                    + id
+                    + ": not among the open jobs ("
+                    + o.source()
+                    + (o.jobsLeftOut() > 0 ? ", " + o.jobsLeftOut() + " jobs were left out" : "")
+                    + "); it is over, or was never submitted: see mallowroad job");
+        return code != 0 ? code : 1;
+      }
+      if (json) {
+        System.out.println(new String(ConsoleCodec.bytes(p), StandardCharsets.UTF_8));
+      } else {
+        print(new Screen(Screen.LEAST_WIDTH, 0).job(p, o.source()));
+      }
+      return 0;
+    }
+  }
+
+  /** Shows a site in a few lines. */
+  @Command(
+      name = "status",
+      mixinStandardHelpOptions = true,
+      description = "Shows who leads, what waits and why, in a few lines.")
+  static final class Status extends Look {
+    @Override
+    int look(Asker asker) {
+      Overview o = asker.look();
+      List<String> all = new Screen(100, 0).draw(o, Top.look(Screen.Page.NODES));
+      print(all);
+      return code(o);
+    }
+  }
+
+  /** Writes a report. */
+  @Command(
+      name = "report",
+      mixinStandardHelpOptions = true,
+      description =
+          "Writes one HTML page that opens without a network: what waits, why, and where.")
+  static final class Write extends Look {
+    @Option(names = "--out", required = true, paramLabel = "FILE", description = "The page.")
+    private Path out;
+
+    @Override
+    int look(Asker asker) throws IOException {
+      Overview o = asker.look();
+      String page = Report.page(o, asker.history());
+      try {
+        Files.writeString(out, page);
+      } catch (IOException e) {
+        System.err.println("mallowroad: " + out + ": cannot be written");
+        return 2;
+      }
+      o.first().forEach(l -> System.out.println(Screen.plain(l)));
+      return code(o);
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/cli/Main.java
+++ b/src/main/java/org/mallowroad/cli/Main.java
@@ -25,7 +25,9 @@
     String level = System.getenv("LOG_LEVEL");
     System.setProperty(
         "org.slf4j.simpleLogger.defaultLogLevel",
-        level == null || level.isEmpty() ? "info" : level);
+        level != null && !level.isEmpty()
+            ? level
+            : args.length > 0 && args[0].equals("try") ? "error" : "info");
     System.setProperty("org.slf4j.simpleLogger.log.io.undertow", "error");
     System.setProperty("org.slf4j.simpleLogger.log.org.xnio", "error");
     System.setProperty("org.slf4j.simpleLogger.log.org.jboss", "error");
@@ -50,7 +52,7 @@
    * The command that serves is put together here, and the others left out of it: reading their
    * annotations is a good part of a start.
    */
-  private static CommandLine line(boolean serves) {
+  static CommandLine line(boolean serves) {
     CommandSpec spec = CommandSpec.create().name("mallowroad").version("mallowroad 0.1.0");
     spec.usageMessage()
         .description("A cluster scheduler that rents its machines. Without a command it serves.");
@@ -72,7 +74,11 @@
           .addSubcommand(new Remote.Submit())
           .addSubcommand(new Remote.Show())
           .addSubcommand(new Remote.Withdraw())
-          .addSubcommand(new Remote.Status())
+          .addSubcommand(new Look.Status())
+          .addSubcommand(new Top())
+          .addSubcommand(new Look.Why())
+          .addSubcommand(new Look.Write())
+          .addSubcommand(new Try())
           .addSubcommand(new Rehearse());
     }
     IExecutionStrategy others = new CommandLine.RunLast();
--- a/src/main/java/org/mallowroad/cli/Rehearse.java
+++ b/src/main/java/org/mallowroad/cli/Rehearse.java
@@ -1,17 +1,23 @@
 package org.mallowroad.cli;
 
 import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.mallowroad.config.BadSettings;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
 import org.mallowroad.controller.Node;
 import org.mallowroad.controller.Site;
-import org.mallowroad.wire.BadMessage;
+import org.mallowroad.standin.CloudStandIn;
+import org.mallowroad.standin.StateStandIn;
 import picocli.CommandLine.Command;
 
 /**
@@ -25,9 +31,10 @@
     description = "Plays a short day on loopback, to record an archive of its classes.")
 final class Rehearse implements Callable<Integer> {
   private static final long MOST_MS = 20_000;
+  private static final long PAUSE_MS = 100;
 
   @Override
-  public Integer call() throws IOException, BadSettings, InterruptedException, BadMessage {
+  public Integer call() throws IOException, BadSettings, InterruptedException {
     if (!play()) {
       // The service runs without these classes in the archive too, only starts slower.
       System.err.println("mallowroad: the rehearsal did not come to its end");
@@ -36,41 +43,48 @@
   }
 
   /** True when all came to its end: jobs done and withdrawn, and a second node took over. */
-  static boolean play() throws IOException, BadSettings, InterruptedException, BadMessage {
+  static boolean play() throws IOException, BadSettings, InterruptedException {
     long until = System.nanoTime() + MOST_MS * 1_000_000;
-    try (Stage stage = new Stage()) {
-      Node first = node("first", stage, "");
+    List<String> at = new CopyOnWriteArrayList<>();
+    CloudStandIn.Type type = new CloudStandIn.Type("t", 64, 64, 1, 1, List.of("a"));
+    try (StateStandIn state = new StateStandIn();
+        CloudStandIn cloud = new CloudStandIn(at, List.of(type))) {
+      String outside = "127.0.0.1:" + state.port();
+      Node first = node("first", "127.0.0.1:" + cloud.port(), outside, outside);
       first.start();
-      Node second = node("second", stage, first.peerAddress());
+      Node second = node("second", "127.0.0.1:" + cloud.port(), outside, first.peerAddress());
       second.start();
       try {
-        String[] at = {first.address(), second.address()};
-        stage.keep(true);
+        at.add(first.address());
+        at.add(second.address());
+        cloud.taskMs = 0;
+        cloud.keeping = true;
         boolean going = false;
         while (!going && System.nanoTime() < until) {
-          Stage.ask("GET", at[0], "/healthz", "");
-          Stage.ask("POST", at[0], "/v1/jobs", job("job-1", "normal"));
-          Stage.ask("POST", at[1], "/v1/jobs", job("job-2", "urgent"));
-          pause(stage, at);
-          going = is(at[0], "job-1", "running") && is(at[1], "job-2", "running");
+          ask("GET", at.get(0), "/healthz", "");
+          ask("POST", at.get(0), "/v1/jobs", job("job-1", "normal"));
+          ask("POST", at.get(1), "/v1/jobs", job("job-2", "urgent"));
+          Thread.sleep(PAUSE_MS);
+          going = is(at.get(0), "job-1", "running") && is(at.get(1), "job-2", "running");
         }
         // Each takes over while tasks run, and the second tells the first (peers speak Avro).
         Set<String> led = new HashSet<>();
         while (led.size() < 2 && System.nanoTime() < until) {
-          led.add(stage.leader());
-          stage.endLease();
-          for (int i = 0; i < 5 || (stage.leader().isEmpty() && System.nanoTime() < until); i++) {
-            pause(stage, at);
+          String leader = state.leader();
+          if (leader != null) {
+            led.add(leader);
+            state.endLeases();
           }
+          Thread.sleep(5 * PAUSE_MS);
         }
-        Stage.ask("POST", at[0], "/v1/jobs/job-2/withdraw", "{}");
-        stage.keep(false);
+        ask("POST", at.get(0), "/v1/jobs/job-2/withdraw", "{}");
+        cloud.keeping = false;
         boolean done = false;
         while (!done && System.nanoTime() < until) {
-          pause(stage, at);
-          done = is(at[0], "job-1", "done") && is(at[1], "job-2", "withdrawn");
+          Thread.sleep(PAUSE_MS);
+          done = is(at.get(0), "job-1", "done") && is(at.get(1), "job-2", "withdrawn");
         }
-        Stage.ask("GET", at[1], "/metrics", "");
+        ask("GET", at.get(1), "/metrics", "");
         return done && led.size() == 2;
       } finally {
         second.stop();
@@ -79,14 +93,28 @@
     }
   }
 
-  private static boolean is(String at, String job, String state) throws IOException {
-    return Stage.ask("GET", at, "/v1/jobs/" + job, "").contains(":\"" + state + "\"");
+  /** Sends a request; the answer's body, empty when it was refused. */
+  private static String ask(String method, String node, String path, String body)
+      throws IOException {
+    HttpURLConnection c =
+        (HttpURLConnection) URI.create("http://" + node + path).toURL().openConnection();
+    c.setRequestMethod(method);
+    c.setConnectTimeout(2_000);
+    c.setReadTimeout(2_000);
+    if (method.equals("POST")) {
+      c.setDoOutput(true);
+      c.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+    }
+    if (c.getResponseCode() >= 400) {
+      return "";
+    }
+    try (var in = c.getInputStream()) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
   }
 
-  private static void pause(Stage stage, String[] at)
-      throws IOException, InterruptedException, BadMessage {
-    Thread.sleep(100);
-    stage.report(at[stage.leader().equals("second") ? 1 : 0]);
+  private static boolean is(String at, String job, String state) throws IOException {
+    return ask("GET", at, "/v1/jobs/" + job, "").contains(":\"" + state + "\"");
   }
 
   private static String job(String id, String priority) {
@@ -98,7 +126,8 @@
         .formatted(id, priority);
   }
 
-  private static Node node(String name, Stage stage, String peer) throws IOException, BadSettings {
+  private static Node node(String name, String cloud, String state, String peer)
+      throws IOException, BadSettings {
     Path file = Files.createTempFile("rehearse", ".toml");
     try {
       Files.writeString(
@@ -114,7 +143,7 @@
           endpoint = "%3$s"
           [outside]
           cloud = "%2$s"
-          state = "%2$s"
+          state = "%4$s"
           [params]
           zones = ["a"]
           [[params.teams]]
@@ -136,7 +165,7 @@
           [params.cloud]
           rps = 100.0
           """
-              .formatted(name, stage.address(), peer.isEmpty() ? stage.address() : peer));
+              .formatted(name, cloud, peer, state));
       return new Node(new Site(Settings.load(file.toString()), OperatorSettings.defaults()));
     } finally {
       Files.delete(file);
--- a/src/main/java/org/mallowroad/cli/Remote.java
+++ b/src/main/java/org/mallowroad/cli/Remote.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -37,8 +38,14 @@
                       .method(method, HttpRequest.BodyPublishers.ofByteArray(body))
                       .build(),
                   HttpResponse.BodyHandlers.ofString());
-    } catch (IOException | IllegalArgumentException e) {
-      System.err.println("mallowroad: " + server + ": " + e);
+    } catch (IllegalArgumentException e) {
+      System.err.println("mallowroad: " + server + ": not an address of the form host:port");
+      return 2;
+    } catch (HttpTimeoutException e) {
+      System.err.println("mallowroad: " + server + " does not answer in time");
+      return 3;
+    } catch (IOException e) {
+      System.err.println("mallowroad: " + server + " cannot be reached");
       return 3;
     }
     System.out.println(r.body().stripTrailing());
@@ -100,16 +107,4 @@
       return ask("POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
     }
   }
-
-  /** Shows a node's own state. */
-  @Command(
-      name = "status",
-      mixinStandardHelpOptions = true,
-      description = "Shows a controller's metrics: who leads, open jobs, machines.")
-  static final class Status extends Remote {
-    @Override
-    public Integer call() throws InterruptedException {
-      return ask("GET", "/metrics", new byte[0]);
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/cli/Try.java
@@ -0,0 +1,161 @@
+package org.mallowroad.cli;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.mallowroad.config.ConsoleSettings;
+import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.Settings.Endpoint;
+import org.mallowroad.config.Settings.TeamSetting;
+import org.mallowroad.controller.Node;
+import org.mallowroad.controller.Site;
+import org.mallowroad.standin.CloudStandIn;
+import org.mallowroad.standin.Loopback;
+import org.mallowroad.standin.StateStandIn;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Everything on one machine, to look at: no settings, no cloud, until Ctrl-C. */
+@Command(
+    name = "try",
+    mixinStandardHelpOptions = true,
+    description = {
+      "Runs three controllers on loopback against stand-ins of the state service, the cloud and the"
+          + " workers, with sample jobs of three teams, until Ctrl-C.",
+      "Nothing of it is kept, and nothing leaves this machine."
+    })
+final class Try implements Callable<Integer> {
+  private static final int CONTROLLERS = 3;
+  private static final List<String> ZONES = List.of("north", "south");
+
+  @Option(
+      names = "--console-port",
+      paramLabel = "PORT",
+      description = "Port of the first console, the others follow (default: any).")
+  private int consolePort;
+
+  @Option(
+      names = "--stall",
+      paramLabel = "ZONE",
+      description = "A zone (north, south) whose machines stand still after 30 s, to see it shown.")
+  private String stall;
+
+  @Option(names = "--for-s", paramLabel = "SECONDS", description = "End by itself after so long.")
+  private double forS = Double.MAX_VALUE;
+
+  private record Sample(
+      String team, String taskClass, String rank, int tasks, double cpus, boolean together) {}
+
+  /** One of them every two seconds, in turn; together somewhat more than the machines hold. */
+  private static final List<Sample> SAMPLES =
+      List.of(
+          new Sample("ratings", "rating-recalc", "urgent", 4, 2, false),
+          new Sample("archive", "replay-render", "idle", 40, 1, false),
+          new Sample("planning", "site-planner", "normal", 6, 4, true),
+          new Sample("ratings", "opening-stats", "normal", 16, 1, false),
+          new Sample("planning", "waitlist-match", "critical", 2, 2, false));
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    if (stall != null && !ZONES.contains(stall)) {
+      System.err.println("mallowroad: --stall: " + stall + ": north or south");
+      return 2;
+    }
+    List<String> controllers = new CopyOnWriteArrayList<>();
+    List<CloudStandIn.Type> types =
+        List.of(
+            new CloudStandIn.Type("small", 8, 32, 0.4, 4, ZONES),
+            new CloudStandIn.Type("large", 32, 128, 1.6, 8, List.of("north")));
+    List<Node> nodes = new ArrayList<>();
+    try (StateStandIn state = new StateStandIn();
+        CloudStandIn cloud = new CloudStandIn(controllers, types)) {
+      cloud.taskMs = 12_000;
+      cloud.fetchMs = 1_500;
+      cloud.bootPart = 1;
+      List<TeamSetting> teams =
+          List.of(
+              new TeamSetting("ratings", 24, 0, 48, 0),
+              new TeamSetting("planning", 16, 0, 32, 0),
+              new TeamSetting("archive", 8, 0, 64, 0));
+      Loopback site = new Loopback(ZONES, teams, cloud, state, 0.5, 26);
+      List<String> consoles = new ArrayList<>();
+      for (int i = 0; i < CONTROLLERS; i++) {
+        Node n = node(i, site);
+        nodes.add(n);
+        n.start();
+        controllers.add(n.address());
+        consoles.add(n.consoleAddress());
+      }
+      say(controllers, consoles, state);
+      run(controllers, cloud);
+      return 0;
+    } catch (IOException e) {
+      System.err.println("mallowroad: cannot listen: " + e.getMessage());
+      return 1;
+    } finally {
+      nodes.forEach(Node::stop);
+    }
+  }
+
+  private void say(List<String> controllers, List<String> consoles, StateStandIn state) {
+    String at = "--nodes " + String.join(",", consoles) + " --state 127.0.0.1:" + state.port();
+    String jar = "java -jar target/mallowroad.jar ";
+    System.out.println("Three controllers, stand-ins and sample jobs run here until Ctrl-C.");
+    System.out.println("users:    " + String.join(" ", controllers));
+    System.out.println("consoles: " + String.join(" ", consoles));
+    System.out.println("From another shell:");
+    System.out.println("  " + jar + "top " + at);
+    System.out.println("  " + jar + "report --out report.html " + at);
+    System.out.println("  " + jar + "why job-1 " + at);
+  }
+
+  private void run(List<String> controllers, CloudStandIn cloud) throws InterruptedException {
+    long began = System.nanoTime();
+    for (int i = 0; (System.nanoTime() - began) / 1e9 < forS; i++) {
+      submit(controllers.get(i % controllers.size()), i + 1, SAMPLES.get(i % SAMPLES.size()));
+      if (stall != null && cloud.stalled.isEmpty() && System.nanoTime() - began > 30_000_000_000L) {
+        cloud.stalled.add(stall);
+        System.out.println("zone " + stall + " stands still from now on");
+      }
+      Thread.sleep(2_000);
+    }
+  }
+
+  /** A refused submission is tried again like any user would: with the next one. */
+  private static void submit(String node, int n, Sample s) {
+    String job =
+        """
+        {"name_id":"job-%d","docket":"%s","crew":"%s","form":"sweep","rank":"%s","moves":%d,
+         "cpus":%s,"cards":0.0,"mem_gb":1.0,"kit":"%s","size_gb":1.0,"together":%s,
+         "scatter":false,"driftwood":true,"reckon_s":12.0,"cairn_s":0.0,"stow_s":0.0,"due_s":90.0}
+        """
+            .formatted(n, s.taskClass, s.team, s.rank, s.tasks, s.cpus, s.taskClass, s.together);
+    try {
+      HttpURLConnection c =
+          (HttpURLConnection) URI.create("http://" + node + "/v1/jobs").toURL().openConnection();
+      c.setConnectTimeout(2_000);
+      c.setReadTimeout(5_000);
+      c.setDoOutput(true);
+      c.getOutputStream().write(job.getBytes(StandardCharsets.UTF_8));
+      c.getResponseCode();
+    } catch (IOException e) {
+      System.err.println("mallowroad: " + node + " took no job: it cannot be reached");
+    }
+  }
+
+  private Node node(int i, Loopback site) throws IOException {
+    OperatorSettings d = OperatorSettings.defaults();
+    Endpoint listen = new Endpoint("127.0.0.1", consolePort == 0 ? 0 : consolePort + i);
+    ConsoleSettings console = new ConsoleSettings(listen, 2_000, 1_000, 240);
+    return new Node(
+        new Site(
+            site.node(i, CONTROLLERS),
+            new OperatorSettings(d.fleet(), d.health(), Optional.of(console))));
+  }
+}
--- a/src/main/java/org/mallowroad/config/OperatorSettings.java
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.util.Optional;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
@@ -12,13 +13,15 @@
 
 /**
  * The operators' own settings (XML): the design's thresholds, triggers, cycle and step, and the
- * thresholds by which machines, zones and the controller itself are suspected.
+ * thresholds by which machines, zones and the controller itself are suspected, and the console's
+ * listener, which is off when it is not named.
  */
-public record OperatorSettings(FleetPolicy fleet, HealthPolicy health) {
+public record OperatorSettings(
+    FleetPolicy fleet, HealthPolicy health, Optional<ConsoleSettings> console) {
 
   /** What holds without a file. */
   public static OperatorSettings defaults() {
-    return new OperatorSettings(FleetPolicy.defaults(), HealthPolicy.defaults());
+    return new OperatorSettings(FleetPolicy.defaults(), HealthPolicy.defaults(), Optional.empty());
   }
 
   /**
@@ -40,7 +43,7 @@
     if (!root.getTagName().equals("mallowroad")) {
       throw new BadSettings(file, root.getTagName(), "the root element is mallowroad");
     }
-    return new OperatorSettings(fleet(file, root), health(file, root));
+    return new OperatorSettings(fleet(file, root), health(file, root), console(file, root));
   }
 
   private static FleetPolicy fleet(String file, Element root) throws BadSettings {
@@ -78,6 +81,22 @@
         (long) (number(file, e, "still-s", d.stillMs() / 1000.0, 0.5, 60) * 1000));
   }
 
+  private static Optional<ConsoleSettings> console(String file, Element root) throws BadSettings {
+    if (!(root.getElementsByTagName("console").item(0) instanceof Element e)) {
+      return Optional.empty();
+    }
+    Settings.Endpoint listen = Settings.Endpoint.of(e.getAttribute("listen").trim());
+    if (listen == null) {
+      throw new BadSettings(file, "console/listen", "host:port is needed");
+    }
+    return Optional.of(
+        new ConsoleSettings(
+            listen,
+            (long) (number(file, e, "every-s", 5, 0.2, 3600) * 1000),
+            (long) (number(file, e, "fresh-s", 1, 0.1, 3600) * 1000),
+            (int) number(file, e, "history", 240, 0, 2_000)));
+  }
+
   private static double number(
       String file, Element e, String name, double otherwise, double min, double max)
       throws BadSettings {
--- a/src/main/java/org/mallowroad/config/Settings.java
+++ b/src/main/java/org/mallowroad/config/Settings.java
@@ -35,6 +35,19 @@
 
   /** Host and port. */
   public record Endpoint(String host, int port) {
+    /** Of the form {@code host:port}, or null. */
+    public static Endpoint of(String text) {
+      int colon = text.lastIndexOf(':');
+      try {
+        int port = Integer.parseInt(text.substring(colon + 1));
+        return colon > 0 && port >= 0 && port < 65536
+            ? new Endpoint(text.substring(0, colon), port)
+            : null;
+      } catch (NumberFormatException e) {
+        return null;
+      }
+    }
+
     @Override
     public String toString() {
       return host + ":" + port;
@@ -184,17 +197,11 @@
     }
 
     private Endpoint endpoint(JsonNode o, String key, String field) throws BadSettings {
-      String s = text(o, key, field);
-      int colon = s.lastIndexOf(':');
-      try {
-        int port = Integer.parseInt(s.substring(colon + 1));
-        if (colon > 0 && port >= 0 && port < 65536) {
-          return new Endpoint(s.substring(0, colon), port);
-        }
-      } catch (NumberFormatException e) {
-        // Falls through to the one message.
+      Endpoint e = Endpoint.of(text(o, key, field));
+      if (e == null) {
+        throw bad(field, "host:port is needed");
       }
-      throw bad(field, "host:port is needed");
+      return e;
     }
   }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/console/ask/RecordReader.java
@@ -0,0 +1,201 @@
+package org.mallowroad.console.ask;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mallowroad.console.view.Recorded;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Budget;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore.Item;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.JobCodec;
+import org.mallowroad.wire.Json;
+
+/**
+ * Reads what is on record in the state service: read-only, a bounded number of requests a look, no
+ * more than a few a second. The service's limits are the leader's to use, so this stays far below
+ * them, and says when it saw a part only.
+ */
+final class RecordReader {
+  /** Requests for one look. */
+  static final int MOST_READS = 24;
+
+  /** Requests a second. */
+  private static final double RPS = 10;
+
+  private static final int PAGE = 500;
+  private static final int MOST_BYTES = 4 << 20;
+  private static final Duration TIMEOUT = Duration.ofMillis(1_500);
+
+  private final String address;
+  private final Fetch fetch;
+  private final Budget budget = new Budget(RPS, RPS, millis());
+
+  RecordReader(HttpClient http, String address) {
+    this.address = address;
+    this.fetch = new Fetch(http, TIMEOUT, MOST_BYTES);
+  }
+
+  private static long millis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** One look. */
+  Recorded read() {
+    try {
+      return new Look().read();
+    } catch (BadMessage e) {
+      return Recorded.none(address, e.getMessage());
+    }
+  }
+
+  /** A look and what it has used of its budget. */
+  private final class Look {
+    private int reads;
+    private boolean partial;
+    private final Names teams = new Names();
+    private final Names zones = new Names();
+    private final Names classes = new Names();
+    private final JobCodec codec = new JobCodec(teams, zones, new Names(), new Names(), classes);
+
+    Recorded read() throws BadMessage {
+      JsonNode leader = value(Election.LEADER);
+      JsonNode term = value(Election.TERM);
+      List<Item> open = list(Records.OPEN);
+      List<Item> run = list(Records.RUN);
+      List<Item> hire = list(Records.HIRE);
+      Map<String, int[]> of = new LinkedHashMap<>();
+      int attempts = 0;
+      for (Item i : run) {
+        String id = i.key().substring(Records.RUN.length(), i.key().lastIndexOf('/'));
+        int[] counts = of.computeIfAbsent(id, k -> new int[2]);
+        int live = Records.live(i.value()).size();
+        counts[0] += Records.done(i.value()).cardinality();
+        counts[1] += live;
+        attempts += live;
+      }
+      List<JobLine> jobs = new ArrayList<>();
+      for (Item i : open) {
+        jobs.add(line(i, of));
+      }
+      return new Recorded(
+          address,
+          "",
+          partial,
+          reads,
+          leader == null ? "" : leader.path("node").asText(),
+          leader == null ? 0 : leader.path("term").asLong(),
+          term == null ? 0 : term.path("n").asLong(),
+          jobs,
+          attempts,
+          hire.size());
+    }
+
+    private JobLine line(Item i, Map<String, int[]> of) throws BadMessage {
+      JsonNode job = i.value().path("job");
+      teams.intern(job.path(Fields.TEAM).asText());
+      JobSpec s = Records.spec(i.value(), codec);
+      int[] counts = of.getOrDefault(s.id(), new int[2]);
+      double age = Math.max(0, (System.currentTimeMillis() - s.submittedMs()) / 1000.0);
+      return new JobLine(
+          s.id(),
+          job.path(Fields.TEAM).asText(),
+          job.path(Fields.CLASS).asText(),
+          s.priority(),
+          s.tasks(),
+          counts[0],
+          0,
+          counts[1],
+          Math.max(0, s.tasks() - counts[0] - counts[1]),
+          0,
+          age,
+          s.dueS() > 0,
+          s.dueS() > 0 ? s.dueS() - age : 0,
+          false,
+          0,
+          "",
+          -1,
+          -1,
+          "",
+          "");
+    }
+
+    private JsonNode value(String key) throws BadMessage {
+      ObjectNode o = ask("/kv/" + key);
+      return o == null ? null : o.get(Fields.VALUE);
+    }
+
+    private List<Item> list(String prefix) throws BadMessage {
+      List<Item> out = new ArrayList<>();
+      String from = "";
+      while (reads < MOST_READS) {
+        ObjectNode o =
+            ask(
+                "/kv?under="
+                    + prefix
+                    + (from.isEmpty() ? "" : "&from=" + encode(from))
+                    + "&limit="
+                    + PAGE);
+        if (o == null) {
+          throw new BadMessage("has no lists: not a state service");
+        }
+        for (JsonNode n : Json.list(o, Fields.PAIRS)) {
+          from = Json.string(n, Fields.KEY, 400);
+          if (!from.startsWith(prefix) || !(n.get(Fields.VALUE) instanceof ObjectNode v)) {
+            throw new BadMessage("answers with something else than records");
+          }
+          out.add(new Item(from, v, 0));
+        }
+        if (!o.path(Fields.TRUNCATED).asBoolean() || from.isEmpty()) {
+          return out;
+        }
+      }
+      partial = true;
+      return out;
+    }
+
+    private static String encode(String s) {
+      return URLEncoder.encode(s, StandardCharsets.UTF_8);
+    }
+
+    /** Null for 404. */
+    private ObjectNode ask(String path) throws BadMessage {
+      reads++;
+      while (!budget.take(1, millis())) {
+        try {
+          Thread.sleep(20);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+          throw new BadMessage("was not waited for");
+        }
+      }
+      Fetch.Answer a = fetch.get(address, path);
+      if (a.status() == 404) {
+        return null;
+      }
+      if (a.status() == 0) {
+        throw new BadMessage(a.problem());
+      }
+      if (a.status() != 200) {
+        throw new BadMessage("answers " + a.status());
+      }
+      try {
+        return Json.parseObject(a.body());
+      } catch (BadMessage e) {
+        throw new BadMessage("answers something that is " + e.getMessage());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/console/view/Overview.java
@@ -0,0 +1,275 @@
+package org.mallowroad.console.view;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import org.mallowroad.console.view.NodeView.Standing;
+import org.mallowroad.core.explain.Picture;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.explain.Picture.ReasonLine;
+import org.mallowroad.core.explain.Reason;
+import org.mallowroad.core.explain.Reasons;
+
+/**
+ * One look at the site: which answer counts, what stands in everybody's way, and what to look at
+ * first.
+ *
+ * <p>The leader's newest picture counts, the one of the highest term when two claim to lead. While
+ * something stands in the way of everybody (no leader, a takeover, a stuck loop, the state service
+ * away) it is the reason of each job that waits, and what the last picture said of the job comes
+ * after it: when the leader cannot place anything, a team's limit is not what is waited for.
+ * Without any picture the records say which jobs are open.
+ *
+ * @param obstacle what stands in everybody's way, or empty
+ * @param source where the jobs and figures come from
+ * @param ageS how old they are; -1 when there are none
+ * @param picture the picture that counts, or null
+ * @param first what to look at first, the most important line first
+ */
+public record Overview(
+    long atMs,
+    String obstacle,
+    String obstacleDetail,
+    String source,
+    double ageS,
+    List<NodeView> nodes,
+    Recorded recorded,
+    Picture picture,
+    List<JobLine> jobs,
+    int jobsLeftOut,
+    List<ReasonLine> reasons,
+    List<String> first) {
+
+  private static final int MOST_FIRST = 8;
+
+  private record Obstacle(Reason reason, String detail) {}
+
+  /** Of what was answered. */
+  public static Overview of(List<NodeView> nodes, Recorded recorded, long atMs) {
+    NodeView leader = leader(nodes);
+    Obstacle o = obstacle(nodes, leader, recorded);
+    Picture picture = leader == null ? null : leader.picture();
+    // One that takes over has no jobs before it has read them.
+    boolean pictured =
+        picture != null && (picture.phase() == Picture.Phase.LEADING || !picture.jobs().isEmpty());
+    List<JobLine> jobs = pictured ? picture.jobs() : recorded.jobs();
+    int leftOut = pictured ? picture.jobsLeftOut() : 0;
+    String source;
+    double age;
+    if (pictured) {
+      source = "leader " + leader.name() + ", term " + picture.term();
+      age = leader.sight().pictureAgeS();
+    } else if (recorded.read()) {
+      source = "records of the state service" + (recorded.partial() ? " (a part of them)" : "");
+      age = 0;
+    } else {
+      source = "nobody: jobs and machines are unknown";
+      age = -1;
+    }
+    if (o != null) {
+      jobs = jobs.stream().map(j -> blocked(j, o)).toList();
+    }
+    List<ReasonLine> reasons = Reasons.of(jobs);
+    return new Overview(
+        atMs,
+        o == null ? "" : o.reason.name(),
+        o == null ? "" : o.detail,
+        source,
+        age,
+        List.copyOf(nodes),
+        recorded,
+        picture,
+        jobs,
+        leftOut,
+        reasons,
+        first(nodes, o, pictured ? picture : null, jobs, reasons, recorded));
+  }
+
+  private static NodeView leader(List<NodeView> nodes) {
+    return nodes.stream()
+        .filter(NodeView::leads)
+        .max(
+            Comparator.comparingLong((NodeView n) -> n.picture().term())
+                .thenComparingDouble(n -> -n.sight().pictureAgeS()))
+        .orElse(null);
+  }
+
+  /** What keeps the whole site from starting anything; null when nothing does. */
+  private static Obstacle obstacle(List<NodeView> nodes, NodeView leader, Recorded recorded) {
+    boolean stateAway = !recorded.address().isEmpty() && !recorded.read();
+    if (leader != null) {
+      if (leader.standing() == Standing.STANDING_STILL) {
+        return new Obstacle(
+            Reason.LOOP_STUCK,
+            leader.name()
+                + ": "
+                + leader.problem()
+                + "; it is in "
+                + leader.sight().stack().get(0));
+      }
+      if (!leader.picture().firm()) {
+        return new Obstacle(
+            Reason.STATE_AWAY,
+            leader.name()
+                + " leads and was last served "
+                + round(leader.picture().stateSilenceS())
+                + " s before its picture");
+      }
+      if (leader.standing() == Standing.TAKING_OVER) {
+        return new Obstacle(
+            Reason.TAKING_OVER, leader.name() + " takes over in term " + leader.picture().term());
+      }
+      return null;
+    }
+    if (stateAway) {
+      return new Obstacle(Reason.STATE_AWAY, recorded.problem());
+    }
+    if (nodes.stream().allMatch(n -> n.sight() == null)) {
+      return new Obstacle(Reason.NO_LEADER, "no controller answers");
+    }
+    return new Obstacle(
+        Reason.NO_LEADER,
+        recorded.leader().isEmpty()
+            ? "no controller holds the office"
+            : recorded.leader() + " holds the office by its record and did not answer");
+  }
+
+  private static JobLine blocked(JobLine j, Obstacle o) {
+    if (j.waiting() + j.starting() + j.silent() == 0) {
+      return j;
+    }
+    String before = j.reason().isEmpty() ? "" : "; before: " + text(j.reason()) + ", " + j.detail();
+    return new JobLine(
+        j.id(),
+        j.team(),
+        j.taskClass(),
+        j.priority(),
+        j.tasks(),
+        j.done(),
+        j.running(),
+        j.starting(),
+        j.waiting(),
+        j.silent(),
+        j.ageS(),
+        j.hasDue(),
+        j.dueS(),
+        j.guaranteed(),
+        j.failures(),
+        o.reason.name(),
+        j.sinceS(),
+        -1,
+        j.zone(),
+        o.detail + before);
+  }
+
+  private static List<String> first(
+      List<NodeView> nodes,
+      Obstacle o,
+      Picture p,
+      List<JobLine> jobs,
+      List<ReasonLine> reasons,
+      Recorded recorded) {
+    List<String> out = new ArrayList<>();
+    if (o != null) {
+      out.add(
+          capital(o.reason.text()) + ": " + o.detail + ". Ends when " + o.reason.remedy() + ".");
+    }
+    if (p != null) {
+      for (Picture.ZoneLine z : p.zones()) {
+        if (z.cut() || (z.silent() > 0 && 2 * z.silent() >= z.machines())) {
+          out.add(zone(z, jobs));
+        }
+      }
+    }
+    List<JobLine> late =
+        jobs.stream()
+            .filter(j -> j.hasDue() && j.dueS() < 0)
+            .sorted(Comparator.comparingDouble(JobLine::dueS))
+            .toList();
+    if (!late.isEmpty()) {
+      JobLine j = late.get(0);
+      out.add(
+          late.size()
+              + (late.size() == 1 ? " job is" : " jobs are")
+              + " past the deadline, "
+              + j.id()
+              + " of "
+              + j.team()
+              + " by "
+              + Ages.of(-j.dueS())
+              + (j.reason().isEmpty() ? ": its last tasks run." : ": " + text(j.reason()) + "."));
+    }
+    for (ReasonLine r : reasons.subList(0, Math.min(3, reasons.size()))) {
+      if (o != null || r.reason().equals(Reason.STARTING.name())) {
+        continue;
+      }
+      out.add(
+          r.tasks()
+              + " tasks of "
+              + r.team()
+              + " ("
+              + r.taskClass()
+              + ") wait: "
+              + text(r.reason())
+              + ", "
+              + r.detail()
+              + ". Ends when "
+              + Reason.valueOf(r.reason()).remedy()
+              + ".");
+    }
+    for (NodeView n : nodes) {
+      if (!n.standing().fine()) {
+        out.add(
+            "Node "
+                + n.name()
+                + " is "
+                + n.standing().text()
+                + (n.problem().isEmpty() ? "" : ": " + n.problem())
+                + ".");
+      }
+    }
+    if (!recorded.address().isEmpty() && !recorded.problem().isEmpty()) {
+      out.add("State service " + recorded.address() + ": " + recorded.problem() + ".");
+    }
+    if (out.isEmpty()) {
+      out.add(jobs.isEmpty() ? "No job is open." : "Nothing waits for more than its turn.");
+    }
+    return List.copyOf(out.subList(0, Math.min(MOST_FIRST, out.size())));
+  }
+
+  private static String zone(Picture.ZoneLine z, List<JobLine> jobs) {
+    List<JobLine> stalled = jobs.stream().filter(j -> j.zone().equals(z.name())).toList();
+    StringBuilder b = new StringBuilder("Zone ").append(z.name());
+    b.append(z.cut() ? " is cut off" : " is mostly silent").append(": ").append(z.silent());
+    b.append(" of ").append(z.machines()).append(" machines are not heard");
+    if (!stalled.isEmpty()) {
+      b.append("; stalled: ");
+      for (int i = 0; i < Math.min(5, stalled.size()); i++) {
+        b.append(i == 0 ? "" : ", ").append(stalled.get(i).id());
+      }
+      if (stalled.size() > 5) {
+        b.append(" and ").append(stalled.size() - 5).append(" more jobs");
+      }
+    }
+    return b.append('.').toString();
+  }
+
+  /** A reason in words; of a newer build's reasons the name. */
+  public static String text(String reason) {
+    for (Reason r : Reason.values()) {
+      if (r.name().equals(reason)) {
+        return r.text();
+      }
+    }
+    return reason.toLowerCase(Locale.ROOT).replace('_', ' ');
+  }
+
+  private static String capital(String s) {
+    return Character.toUpperCase(s.charAt(0)) + s.substring(1);
+  }
+
+  private static String round(double d) {
+    return String.format(Locale.ROOT, "%.1f", d);
+  }
+}
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -259,7 +259,13 @@
     }
   }
 
-  private List<Coming> coming(long now) {
+  /** Since when the cloud has refused the variant; -1 while it has not. */
+  long refusedSinceMs(Variant v) {
+    return fleet.refusedSinceMs(v);
+  }
+
+  /** Machines rented and not yet reporting, those overdue left out. */
+  List<Coming> coming(long now) {
     List<Coming> out = new ArrayList<>();
     for (Hire h : hires.values()) {
       if (!h.answered) {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -211,13 +211,33 @@
     return loaded ? ledger.job(id) : null;
   }
 
-  /** Read by metrics. */
+  /** Read by metrics and pictures. */
   Ledger ledger() {
     return ledger;
   }
 
+  /** Read by pictures. */
+  Placement placement() {
+    return placement;
+  }
+
+  /** Read by pictures. */
+  FleetManager fleet() {
+    return fleet;
+  }
+
+  /** True once the records of the term before are read. */
+  boolean loaded() {
+    return loaded;
+  }
+
+  /** True once the workers had a round to report in, and machines are rented and returned. */
+  boolean acting() {
+    return acting;
+  }
+
   /** True while the lease was renewed so recently that it holds. */
-  private boolean firm() {
+  boolean firm() {
     return loop.now() - election.renewedMs() < FIRM_MS;
   }
 
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -21,9 +21,13 @@
 import org.mallowroad.api.UserApi;
 import org.mallowroad.cloud.CloudApi;
 import org.mallowroad.config.Settings;
+import org.mallowroad.console.ConsoleServer;
+import org.mallowroad.console.Subject;
 import org.mallowroad.core.Job;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
@@ -36,9 +40,7 @@
 import org.mallowroad.worker.WorkerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 
 /** One controller: listens, takes part in the election and, while elected, leads. */
@@ -60,6 +62,7 @@
   private final Peers peers;
   private final Door door;
   private final Undertow server;
+  private final ConsoleServer console;
   private Leader leader;
   private PrometheusMeterRegistry registry;
 
@@ -67,15 +70,7 @@
   public Node(Site site) throws IOException {
     this.site = site;
     Settings s = site.settings();
-    this.worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .set(Options.TCP_NODELAY, true)
-                    .getMap());
+    this.worker = Loop.worker("loop");
     this.loop = new Loop(worker.getIoThread());
     ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 0);
     String json = "application/json";
@@ -109,6 +104,13 @@
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
     this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(loop, buffers, s.members(), new NodePeers());
+    // Not even its classes are loaded where it is off.
+    this.console =
+        site.operator.console().isEmpty()
+            ? null
+            : new ConsoleServer(
+                site.operator.console().get(),
+                new Watched(new Sketcher(loop, site, state, election, () -> leader)));
     this.door = new Door(this::serve, reports, this::healthy, this::metrics, ram / 16);
     this.server =
         Undertow.builder()
@@ -137,6 +139,9 @@
             () -> {
               try {
                 server.start();
+                if (console != null) {
+                  console.start();
+                }
                 types();
                 election.start();
                 started.complete(null);
@@ -168,6 +173,11 @@
     return bound(1);
   }
 
+  /** Where the console listens once it has started; empty while it is off. */
+  public String consoleAddress() {
+    return console == null ? "" : console.address();
+  }
+
   /** The listeners in the order in which they were added; a port 0 in the settings is any port. */
   private String bound(int listener) {
     InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(listener).getAddress();
@@ -183,6 +193,9 @@
           }
           loop.close();
         });
+    if (console != null) {
+      console.stop();
+    }
     server.stop();
     worker.shutdown();
   }
@@ -286,6 +299,40 @@
     Gauge.builder(name, this, f).register(registry);
   }
 
+  /** This node as its console sees it. */
+  private final class Watched implements Subject {
+    private final Sketcher sketcher;
+
+    Watched(Sketcher sketcher) {
+      this.sketcher = sketcher;
+    }
+
+    @Override
+    public String node() {
+      return site.settings.node();
+    }
+
+    @Override
+    public void picture(Consumer<Picture> done) {
+      loop.soon(() -> sketcher.picture(done));
+    }
+
+    @Override
+    public void job(String id, Consumer<JobPicture> done) {
+      loop.soon(() -> done.accept(sketcher.job(id)));
+    }
+
+    @Override
+    public void soon(Runnable task) {
+      loop.soon(task);
+    }
+
+    @Override
+    public Thread thread() {
+      return loop.thread();
+    }
+  }
+
   private final class Office implements Election.Listener {
     @Override
     public void elected(long term, long mark) {
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/Sketcher.java
@@ -0,0 +1,201 @@
+package org.mallowroad.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.explain.Explainer;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Picture;
+import org.mallowroad.core.explain.Picture.MachineLine;
+import org.mallowroad.core.explain.Picture.Phase;
+import org.mallowroad.core.explain.Picture.TeamLine;
+import org.mallowroad.core.explain.Picture.Totals;
+import org.mallowroad.core.explain.Sketch;
+import org.mallowroad.core.explain.Supply;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.StateStore;
+
+/**
+ * Makes pictures of this node for its console, on the loop and in turns: with a thousand machines
+ * and hundreds of jobs the questions add up to more than a worker's answer should wait.
+ */
+final class Sketcher {
+  /** Questions to the decision in one turn: about a millisecond of a whole core. */
+  private static final int TURN = 10_000;
+
+  private final Loop loop;
+  private final Site site;
+  private final StateStore state;
+  private final Election election;
+  private final Supplier<Leader> leader;
+  private final List<Consumer<Picture>> waiting = new ArrayList<>();
+  private Sketch sketch;
+  private Leader of;
+  private boolean making;
+  private long tookNs;
+
+  Sketcher(Loop loop, Site site, StateStore state, Election election, Supplier<Leader> leader) {
+    this.loop = loop;
+    this.site = site;
+    this.state = state;
+    this.election = election;
+    this.leader = leader;
+  }
+
+  /** Makes a picture, or joins those who wait for the one that is being made. */
+  void picture(Consumer<Picture> done) {
+    waiting.add(done);
+    if (!making) {
+      making = true;
+      turn(true);
+    }
+  }
+
+  /** One job as it is now; with a null line when this node does not lead or does not know it. */
+  JobPicture job(String id) {
+    Leader l = leader.get();
+    return l == null || !l.loaded()
+        ? new JobPicture(id, null, "", List.of(), 0)
+        : sketch(l).job(id, loop.now());
+  }
+
+  private void turn(boolean first) {
+    Leader l = leader.get();
+    long began = System.nanoTime();
+    if (l == null || !l.loaded()) {
+      tookNs = 0;
+      over(plain(l, began));
+      return;
+    }
+    Picture made;
+    try {
+      made = step(l, first, began);
+    } catch (RuntimeException e) {
+      // Whoever waits gets what there is without explanations: a console that waits for an answer
+      // asks nothing more.
+      sketch = null;
+      over(plain(l, began));
+      throw e;
+    }
+    if (made == null) {
+      tookNs += System.nanoTime() - began;
+      loop.soon(() -> turn(false));
+    } else {
+      over(made);
+    }
+  }
+
+  /** One turn's questions; the picture when they were the last ones, else null. */
+  private Picture step(Leader l, boolean first, long began) {
+    // A term that began meanwhile has other jobs.
+    if (first || l != of) {
+      of = l;
+      tookNs = 0;
+      sketch = sketch(l);
+      sketch.begin(loop.now());
+    }
+    return sketch.step(TURN) ? full(l, began) : null;
+  }
+
+  private void over(Picture p) {
+    making = false;
+    sketch = null;
+    of = null;
+    List<Consumer<Picture>> all = List.copyOf(waiting);
+    waiting.clear();
+    all.forEach(c -> c.accept(p));
+  }
+
+  private Sketch sketch(Leader l) {
+    Supply supply = new Office(l);
+    return new Sketch(
+        l.ledger(),
+        supply,
+        site.zones,
+        new Explainer(l.ledger(), l.placement(), supply, site.zones, site.classes));
+  }
+
+  private Picture full(Leader l, long began) {
+    List<TeamLine> teams = sketch.teams();
+    List<MachineLine> machines = sketch.machines();
+    Totals totals = sketch.totals(teams, machines);
+    return picture(
+        l.acting() ? Phase.LEADING : Phase.TAKING_OVER, l, began, totals, teams, machines);
+  }
+
+  private Picture plain(Leader l, long began) {
+    Phase phase =
+        l != null
+            ? Phase.TAKING_OVER
+            : election.leader() == null ? Phase.NO_LEADER : Phase.FOLLOWING;
+    Totals none = new Totals(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    return picture(phase, l, began, none, List.of(), List.of());
+  }
+
+  private Picture picture(
+      Phase phase,
+      Leader l,
+      long began,
+      Totals totals,
+      List<TeamLine> teams,
+      List<MachineLine> machines) {
+    boolean full = sketch != null;
+    long silentMs = loop.now() - state.contactMs();
+    return new Picture(
+        Picture.FORMAT,
+        site.settings.node(),
+        phase,
+        l != null ? l.term() : election.seenTerm(),
+        l != null ? site.settings.node() : election.leader() == null ? "" : election.leader(),
+        System.currentTimeMillis(),
+        (tookNs + System.nanoTime() - began) / 1000,
+        l == null ? 0 : l.lagMs(),
+        state.contactMs() < 0 ? -1 : silentMs / 1000.0,
+        l != null && l.firm(),
+        totals,
+        teams,
+        full ? sketch.jobs() : List.of(),
+        full ? sketch.jobsLeftOut() : 0,
+        full ? sketch.zones() : List.of(),
+        machines,
+        full ? sketch.reasons() : List.of());
+  }
+
+  private final class Office implements Supply {
+    private final Leader leader;
+
+    Office(Leader leader) {
+      this.leader = leader;
+    }
+
+    @Override
+    public List<Coming> coming(long now) {
+      return leader.fleet().coming(now);
+    }
+
+    @Override
+    public long refusedSinceMs(Variant v) {
+      return leader.fleet().refusedSinceMs(v);
+    }
+
+    @Override
+    public List<MachineType> types() {
+      return site.machineTypes();
+    }
+
+    @Override
+    public boolean firm() {
+      return leader.firm();
+    }
+
+    @Override
+    public long renewedMs() {
+      return election.renewedMs();
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -60,6 +60,7 @@
   private final Objectives objectives;
   private long looked;
   private final Long2LongOpenHashMap refusedUntil = new Long2LongOpenHashMap();
+  private final Long2LongOpenHashMap refusedSince = new Long2LongOpenHashMap();
   private final LongOpenHashSet probing = new LongOpenHashSet();
   private final Health health;
 
@@ -79,12 +80,22 @@
   /** The cloud had none, or fewer than asked: other variants are tried for a while. */
   public void refused(Variant v, long now) {
     refusedUntil.put(v.key(), now + REFUSED_MS);
-    probing.add(v.key());
+    if (probing.add(v.key())) {
+      refusedSince.put(v.key(), now);
+    }
+  }
+
+  /**
+   * Since when the cloud has refused the variant, or given fewer than asked; -1 while it has not.
+   */
+  public long refusedSinceMs(Variant v) {
+    return probing.contains(v.key()) ? refusedSince.get(v.key()) : -1;
   }
 
   /** The cloud gave all that was asked for: there may be more. */
   public void granted(Variant v) {
     probing.remove(v.key());
+    refusedSince.remove(v.key());
   }
 
   private boolean refused(Variant v, int taken, long now) {
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -109,6 +109,41 @@
     return liveCount;
   }
 
+  /** True while it is tried again only later, after failures. */
+  public boolean heldBack(long now) {
+    return notBeforeMs > now;
+  }
+
+  /** Until when it is held back after failures, on this process's steady clock. */
+  public long notBeforeMs() {
+    return notBeforeMs;
+  }
+
+  /** Failures in a row, without a task that completed between them. */
+  public int failures() {
+    return failures;
+  }
+
+  /** True when there are machines on which a task of it ended with an error. */
+  public boolean failedSomewhere() {
+    return !failedOn.isEmpty();
+  }
+
+  /** Since when tasks of it have waited without a break, on this process's steady clock. */
+  public long waitingSinceMs() {
+    return waitingSinceMs;
+  }
+
+  /** True when it was within its team's guarantee in the newest queue. */
+  public boolean guaranteed() {
+    return guaranteed;
+  }
+
+  /** True when unresolved attempts of it are in a zone. */
+  public boolean liveIn(int zone) {
+    return zoneLive[zone] > 0;
+  }
+
   /** Number of tasks known to run. */
   public int runningCount() {
     return runningCount;
--- a/src/main/java/org/mallowroad/core/JobSpec.java
+++ b/src/main/java/org/mallowroad/core/JobSpec.java
@@ -44,6 +44,15 @@
     return allowsType(type) && (zone < 0 || zone == inZone) && (spot || !onSpot);
   }
 
+  /**
+   * True when its own rules keep a gang's tasks from ever running at the same time: half of them
+   * may be in one zone, and all have to be. The protocol has no refusal for that, so it is
+   * accepted, and shown for what it is.
+   */
+  public boolean contradicts(int zones) {
+    return gang && scatter && zoneCap() < tasks && (together || zone >= 0 || zones < 2);
+  }
+
   /** The most tasks that may be in one zone at the same time. */
   public int zoneCap() {
     return scatter ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -43,8 +43,16 @@
     OVER,
     /** It is done or has an unresolved attempt. */
     BUSY,
-    /** The machine takes no work. */
-    MACHINE,
+    /** The machine is being emptied or returned, or has failed. */
+    LEAVING,
+    /** The machine's report is overdue, or it has not reported to this leader. */
+    SILENT,
+    /** The machine refused a task a moment ago. */
+    COOLING,
+    /** The machine is slow or faulty, and the job urgent or a gang. */
+    DOUBTED,
+    /** A task of the job failed on the machine. */
+    FAILED_HERE,
     /** The job does not allow the type, zone or kind. */
     PLACE,
     /** Not enough free room. */
@@ -86,6 +94,7 @@
 
   private final ObjectLinkedOpenHashSet<Job> ending = new ObjectLinkedOpenHashSet<>();
 
+  private long started;
   private long completed;
   private long requeued;
   private final Spending spending = new Spending();
@@ -223,6 +232,11 @@
     return spending;
   }
 
+  /** Number of attempts made in this term. */
+  public long started() {
+    return started;
+  }
+
   /** Number of attempts that completed in this term. */
   public long completed() {
     return completed;
@@ -362,7 +376,18 @@
 
   /** True when new work may go to the machine at all. */
   boolean takesWork(Machine m, long now) {
-    return m.usable() && m.coolUntilMs <= now && now - m.reportedMs <= freshMs;
+    return unfit(m, now) == null;
+  }
+
+  /** Why no new work goes to the machine at all; null when it may. */
+  public Refusal unfit(Machine m, long now) {
+    if (m.draining || m.returning || m.failed) {
+      return Refusal.LEAVING;
+    }
+    if (m.reportedMs < 0 || now - m.reportedMs > freshMs) {
+      return Refusal.SILENT;
+    }
+    return m.coolUntilMs > now ? Refusal.COOLING : null;
   }
 
   /** The one place that decides whether a task may start on a machine: null when it may. */
@@ -374,8 +399,9 @@
     if (job.done.get(task) || job.live[task] != null) {
       return Refusal.BUSY;
     }
-    if (!takesWork(m, now)) {
-      return Refusal.MACHINE;
+    Refusal unfit = unfit(m, now);
+    if (unfit != null) {
+      return unfit;
     }
     if (!s.allows(m.type.index(), m.zone, m.spot)) {
       return Refusal.PLACE;
@@ -405,6 +431,7 @@
         new Attempt(job, task, job.number[task] + 1, m, m.session, Attempt.Phase.RECORDING, now);
     job.number[task] = a.number;
     job.lastStartMs = now;
+    started++;
     book(a);
     Chunk c = touch(job, task, now);
     c.recording++;
@@ -754,10 +781,7 @@
    */
   public void expireSilent(long now) {
     for (Machine m : machines.values()) {
-      if (!m.attempts.isEmpty()
-          && m.tokenSeen >= term
-          && m.answeredMs >= 0
-          && now - m.answeredMs > leaseMs) {
+      if (!m.attempts.isEmpty() && leaseEndsMs(m) >= 0 && now > leaseEndsMs(m)) {
         for (Attempt a : new ArrayList<>(m.attempts)) {
           if (a.phase != Attempt.Phase.RECORDING) {
             resolve(a, Outcome.LOST, now);
@@ -767,6 +791,14 @@
     }
   }
 
+  /**
+   * When the lease of the machine's worker must have run out if no answer reaches it any more,
+   * which proves its attempts gone; -1 while no lease can prove that.
+   */
+  public long leaseEndsMs(Machine m) {
+    return m.tokenSeen >= term && m.answeredMs >= 0 ? m.answeredMs + leaseMs : -1;
+  }
+
   /** Asks for a stop of an attempt so that its machine can drain or another job gets room. */
   public void stop(Attempt a, double graceS, long now) {
     if (!a.stopping()) {
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -115,6 +115,11 @@
     }
   }
 
+  /** CPUs that no unresolved attempt takes. */
+  public double freeCpus() {
+    return free.cpus;
+  }
+
   /** Booked share of the scarcest resource. */
   public double booked() {
     double b = 1 - free.cpus / type.cpus();
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -136,7 +136,7 @@
         from = i;
         fillCached(waiting, from, made, now);
       }
-      if (job.notBeforeMs > now) {
+      if (job.heldBack(now)) {
         continue;
       }
       if (job.spec.gang()) {
@@ -169,7 +169,7 @@
   private void fillCached(List<Job> waiting, int from, List<Attempt> made, long now) {
     for (int i = from; i < waiting.size() && alike(waiting.get(i), waiting.get(from)); i++) {
       Job job = waiting.get(i);
-      if (job.notBeforeMs > now || job.spec.gang()) {
+      if (job.heldBack(now) || job.spec.gang()) {
         continue;
       }
       fill(job, true, made, now);
@@ -245,15 +245,12 @@
     for (int i = 0; i < openCount && !job.pending.isEmpty(); i++) {
       Machine m = open[i];
       looked++;
-      if (!m.free.fits(s)
-          || m.hasImage(s.image()) != cached
-          || avoids(s, m)
-          || (job.failedOn.size() < 3 && job.failedOn.contains(m.name))) {
+      if (!m.free.fits(s) || m.hasImage(s.image()) != cached) {
         continue;
       }
       while (!job.pending.isEmpty()) {
         int task = job.pending.firstInt();
-        Ledger.Refusal no = ledger.mayStart(job, task, m, now);
+        Ledger.Refusal no = refusal(job, m, now);
         if (no == Ledger.Refusal.QUOTA) {
           return; // No other machine helps.
         }
@@ -267,46 +264,89 @@
     }
   }
 
+  /**
+   * Why the job's next waiting task does not go to the machine; null when it may. Placement itself
+   * goes by it, so what is shown to people is what was decided. Where the zone rules, a doubt or a
+   * failure are named, nothing else stands in the way: the machine has room.
+   */
+  public Ledger.Refusal refusal(Job job, Machine m, long now) {
+    Ledger.Refusal no = ledger.mayStart(job, job.pending.firstInt(), m, now);
+    if (no == null && avoids(job.spec, m)) {
+      return Ledger.Refusal.DOUBTED;
+    }
+    if (no == null
+        && !job.spec.gang()
+        && job.failedOn.size() < 3
+        && job.failedOn.contains(m.name)) {
+      return Ledger.Refusal.FAILED_HERE;
+    }
+    return no;
+  }
+
   /** Urgent tasks and gangs do not go to a machine that is slow or faulty: many wait for them. */
   private static boolean avoids(JobSpec s, Machine m) {
-    return m.health.doubted() && (s.priority() <= URGENT || s.gang());
+    return m.health.doubted() && (urgent(s) || s.gang());
+  }
+
+  /** True for work that may not wait on a slow machine. */
+  public static boolean urgent(JobSpec s) {
+    return s.priority() <= URGENT;
   }
 
   /** Places all waiting tasks of a gang or none of them. */
   private void placeGang(Job job, List<Attempt> made, long now) {
     JobSpec s = job.spec;
-    int n = job.pending.size();
-    if (n == 0 || !ledger.team(s).allows(s, n)) {
+    if (job.pending.isEmpty() || overLimit(job)) {
       return;
     }
-    for (int zone = 0; zone < job.zoneLive.length; zone++) {
+    List<Machine> places = gangPlaces(job, now);
+    if (places.size() < job.pending.size()) {
+      return;
+    }
+    for (Machine m : places) {
+      made.add(ledger.start(job, job.pending.dequeueInt(), m, now));
+      m.useImage(s.image(), s.imageGb());
+    }
+  }
+
+  /**
+   * True when the team's limit alone keeps the job's next task, or a gang's tasks, from a start.
+   */
+  public boolean overLimit(Job job) {
+    return !ledger.team(job.spec).allows(job.spec, job.spec.gang() ? job.pending.size() : 1);
+  }
+
+  /** Places for a gang's waiting tasks: one for each, or as many as any zone has. */
+  public List<Machine> gangPlaces(Job job, long now) {
+    sortMachines();
+    JobSpec s = job.spec;
+    int n = job.pending.size();
+    List<Machine> most = List.of();
+    for (int zone = 0; zone < job.zoneLive.length && most.size() < n; zone++) {
       List<Machine> places = new ArrayList<>();
       int[] inZone = job.zoneLive.clone();
       for (Machine m : order) {
-        if ((s.together() && m.zone != zone) || avoids(s, m)) {
+        if (s.together() && m.zone != zone) {
           continue;
         }
         Room room = new Room(m.free.cpus, m.free.cards, m.free.memGb);
         while (places.size() < n
             && room.fits(s)
             && inZone[m.zone] < s.zoneCap()
-            && ledger.mayStart(job, job.pending.firstInt(), m, now) == null) {
+            && refusal(job, m, now) == null) {
           room.add(s, -1);
           inZone[m.zone]++;
           places.add(m);
         }
       }
-      if (places.size() == n) {
-        for (Machine m : places) {
-          made.add(ledger.start(job, job.pending.dequeueInt(), m, now));
-          m.useImage(s.image(), s.imageGb());
-        }
-        return;
+      if (places.size() > most.size()) {
+        most = places;
       }
       if (!s.together()) {
-        return;
+        break;
       }
     }
+    return most;
   }
 
   /** Work whose stop makes room on one machine, and for how many tasks. */
--- a/src/main/java/org/mallowroad/core/Team.java
+++ b/src/main/java/org/mallowroad/core/Team.java
@@ -57,6 +57,26 @@
     usedCards += n * job.cards();
   }
 
+  /** Guaranteed CPUs. */
+  public double cpus() {
+    return cpus;
+  }
+
+  /** Limit of CPUs. */
+  public double cpusMax() {
+    return cpusMax;
+  }
+
+  /** Limit of cards. */
+  public double cardsMax() {
+    return cardsMax;
+  }
+
+  /** Cards that unresolved attempts take. */
+  public double usedCards() {
+    return usedCards;
+  }
+
   /** CPUs that unresolved attempts take. */
   public double usedCpus() {
     return usedCpus;
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -0,0 +1,638 @@
+package org.mallowroad.core.explain;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Locale;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.Placement;
+import org.mallowroad.core.Team;
+
+/**
+ * Finds for each open job why tasks of it wait. {@link #begin} looks at every machine and attempt
+ * once; {@link #step} explains jobs until it has asked a stated number of questions, so that a
+ * leader on a fraction of a core goes on with its work between two steps. What changes meanwhile
+ * shows in later jobs only; a job that is over by its turn is left out.
+ */
+public final class Explainer {
+  /** Tasks of a job that wait or hang, by how far they are. */
+  private static final class Counts {
+    private int recording;
+    private int ready;
+    private int pulling;
+    private int silent;
+    private Machine silentOn;
+    private long oldestMs = Long.MAX_VALUE;
+    private long silentSinceMs = Long.MAX_VALUE;
+    private long goneMs;
+
+    int starting() {
+      return recording + ready + pulling;
+    }
+  }
+
+  /** Machines alike in type, zone and kind, and what holds them. */
+  private static final class Group {
+    private final Variant variant;
+    private final List<Machine> machines = new ArrayList<>();
+    private final double[][] held;
+    private int coming;
+    private long dueMs = Long.MAX_VALUE;
+    private long rentedMs;
+
+    Group(Variant variant, int teams) {
+      this.variant = variant;
+      this.held = new double[teams][PRIORITIES];
+    }
+
+    boolean allows(JobSpec s) {
+      return s.allows(variant.type().index(), variant.zone(), variant.spot())
+          && variant.type().fits(s);
+    }
+  }
+
+  private static final int PRIORITIES = 4;
+
+  private final Ledger ledger;
+  private final Placement placement;
+  private final Supply supply;
+  private final Names zones;
+  private final Names classes;
+
+  private final List<Job> jobs = new ArrayList<>();
+  private final List<Group> groups = new ArrayList<>();
+  private final List<Variant> offered = new ArrayList<>();
+  private final Reference2ObjectOpenHashMap<Job, Counts> counts =
+      new Reference2ObjectOpenHashMap<>();
+  private final Object2ObjectOpenHashMap<Shape, Tally> tallies = new Object2ObjectOpenHashMap<>();
+  private final Reference2ObjectLinkedOpenHashMap<Job, Finding> findings =
+      new Reference2ObjectLinkedOpenHashMap<>();
+
+  /**
+   * CPUs that wait ahead, by team, priority and guarantee; of a job's rank only better ones count.
+   */
+  private double[][][] ahead = new double[0][0][0];
+
+  private int next;
+  private long now;
+  private long asked;
+
+  /** Over one term's decisions; the names turn indices back into words. */
+  public Explainer(Ledger ledger, Placement placement, Supply supply, Names zones, Names classes) {
+    this.ledger = ledger;
+    this.placement = placement;
+    this.supply = supply;
+    this.zones = zones;
+    this.classes = classes;
+  }
+
+  /** Questions asked of the decision so far: what explaining costs. */
+  public long asked() {
+    return asked;
+  }
+
+  /** Begins anew, with the state of this moment. */
+  public void begin(long at) {
+    now = at;
+    next = 0;
+    jobs.clear();
+    groups.clear();
+    offered.clear();
+    counts.clear();
+    findings.clear();
+    tallies.clear();
+    List<Job> queue = placement.queue(now);
+    jobs.addAll(queue);
+    for (Job j : ledger.jobs()) {
+      if (!j.waiting() && !j.ended()) {
+        jobs.add(j);
+      }
+    }
+    ahead = new double[ledger.teams().size()][PRIORITIES][2];
+    for (Job j : queue) {
+      ahead[j.spec.team()][j.spec.priority()][j.guaranteed() ? 1 : 0] +=
+          j.waitingCount() * j.spec.cpus();
+    }
+    survey();
+    for (MachineType t : supply.types()) {
+      for (int zone : t.zones()) {
+        offered.add(new Variant(t, zone, true));
+        offered.add(new Variant(t, zone, false));
+      }
+    }
+  }
+
+  private void survey() {
+    Object2ObjectLinkedOpenHashMap<Variant, Group> byVariant =
+        new Object2ObjectLinkedOpenHashMap<>();
+    for (Machine m : ledger.machines()) {
+      Group g = group(byVariant, new Variant(m.type, m.zone, m.spot));
+      g.machines.add(m);
+      boolean silent = unheard(m, now);
+      for (Attempt a : m.attempts()) {
+        g.held[a.job.spec.team()][a.job.spec.priority()] += a.job.spec.cpus();
+        count(a, m, silent);
+      }
+    }
+    for (Coming c : supply.coming(now)) {
+      Group g = group(byVariant, c.variant());
+      g.coming += c.count();
+      long due = c.sinceMs() + (long) (c.variant().type().bootS() * 1000);
+      if (due < g.dueMs) {
+        g.dueMs = due;
+        g.rentedMs = c.sinceMs();
+      }
+    }
+    groups.addAll(byVariant.values());
+  }
+
+  /** Not heard: its report is overdue, in a cut zone, or it is being returned for that. */
+  boolean unheard(Machine m, long at) {
+    return ledger.unfit(m, at) == Ledger.Refusal.SILENT
+        || ledger.health().away(m.health)
+        || (m.returning && !m.failed && m.health.late());
+  }
+
+  private Group group(Object2ObjectLinkedOpenHashMap<Variant, Group> byVariant, Variant v) {
+    return byVariant.computeIfAbsent(v, k -> new Group(v, ledger.teams().size()));
+  }
+
+  private void count(Attempt a, Machine m, boolean silent) {
+    if (!silent
+        && a.phase != Attempt.Phase.RECORDING
+        && a.phase != Attempt.Phase.READY
+        && a.phase != Attempt.Phase.PULLING) {
+      return;
+    }
+    Counts c = counts.computeIfAbsent(a.job, k -> new Counts());
+    if (silent && a.phase != Attempt.Phase.RECORDING) {
+      c.silent++;
+      long since = m.reportedMs < 0 ? m.sinceMs : m.reportedMs;
+      long gone = ledger.leaseEndsMs(m);
+      if (since < c.silentSinceMs) {
+        c.silentSinceMs = since;
+        c.silentOn = m;
+      }
+      // One whose lease proves nothing is gone only when the cloud has answered its deletion.
+      c.goneMs = gone < 0 || c.goneMs < 0 ? -1 : Math.max(c.goneMs, gone);
+      return;
+    }
+    c.oldestMs = Math.min(c.oldestMs, a.sinceMs);
+    switch (a.phase) {
+      case RECORDING -> c.recording++;
+      case READY -> c.ready++;
+      default -> c.pulling++;
+    }
+  }
+
+  /**
+   * Explains further jobs.
+   *
+   * @param questions after so many a step ends; one job may ask once a machine more
+   * @param most no more jobs than this in all
+   * @return true when so many, or all, are explained
+   */
+  public boolean step(int questions, int most) {
+    long until = asked + questions;
+    int end = Math.min(most, jobs.size());
+    while (next < end && asked < until) {
+      Job job = jobs.get(next++);
+      asked++;
+      Finding f = find(job);
+      if (f != null) {
+        findings.put(job, f);
+      }
+    }
+    return next >= end;
+  }
+
+  /** How many of the jobs are explained so far. */
+  public int explained() {
+    return next;
+  }
+
+  /** Explains one job by itself, which costs a survey and its own questions. */
+  Finding only(Job job, long at) {
+    begin(at);
+    return find(job);
+  }
+
+  /** Why tasks of the job wait; null when all of them run, or it was not open. */
+  public Finding finding(Job job) {
+    return findings.get(job);
+  }
+
+  /** The jobs of this explanation: those that wait in the order of the queue, then the others. */
+  public List<Job> jobs() {
+    return jobs;
+  }
+
+  /** Attempts of the job that are recorded and not yet running, on machines that are heard. */
+  public int starting(Job job) {
+    Counts c = counts.get(job);
+    return c == null ? 0 : c.starting();
+  }
+
+  /** Attempts of the job on machines that are not heard. */
+  public int silent(Job job) {
+    Counts c = counts.get(job);
+    return c == null ? 0 : c.silent;
+  }
+
+  private Finding find(Job job) {
+    if (job.ended() || (job.withdrawn() && job.liveCount() == 0)) {
+      return null;
+    }
+    Counts c = counts.get(job);
+    if (!job.waiting()) {
+      return c == null ? null : underWay(c);
+    }
+    Finding f = pending(job);
+    if (c == null || c.silent == 0) {
+      return f;
+    }
+    return new Finding(
+        f.reason(),
+        f.sinceMs(),
+        f.dueMs(),
+        f.zone() < 0 ? c.silentOn.zone : f.zone(),
+        f.detail() + "; besides, " + silence(c));
+  }
+
+  /** None of its tasks waits for a place, but some have not begun, or nobody hears of them. */
+  private Finding underWay(Counts c) {
+    if (c.silent > 0) {
+      boolean cut = ledger.health().silence().cut(c.silentOn.zone);
+      return new Finding(
+          cut ? Reason.ZONE_CUT : Reason.NOT_PROVEN_GONE,
+          c.silentSinceMs,
+          c.goneMs > 0 ? c.goneMs : -1,
+          c.silentOn.zone,
+          silence(c));
+    }
+    if (c.recording > 0) {
+      Reason r = supply.firm() ? Reason.AWAITS_COMMIT : Reason.STATE_AWAY;
+      return new Finding(
+          r,
+          c.oldestMs,
+          -1,
+          -1,
+          c.recording
+              + " starts, "
+              + ledger.dirty().size()
+              + " records wait for the state service");
+    }
+    if (c.pulling > 0) {
+      return new Finding(
+          Reason.IMAGE, c.oldestMs, -1, -1, c.pulling + " tasks wait for their image");
+    }
+    return new Finding(Reason.AWAITS_WORKER, c.oldestMs, -1, -1, c.ready + " launches");
+  }
+
+  private String silence(Counts c) {
+    Machine m = c.silentOn;
+    return c.silent
+        + " tasks on silent machines, one is "
+        + m.name
+        + " in zone "
+        + zones.name(m.zone)
+        + (ledger.health().silence().cut(m.zone) ? ", which is cut off" : "")
+        + (c.goneMs > 0 ? "" : "; proven gone only by the machine's deletion or report");
+  }
+
+  private Finding pending(Job job) {
+    JobSpec s = job.spec;
+    if (!supply.firm()) {
+      return new Finding(
+          Reason.STATE_AWAY,
+          supply.renewedMs(),
+          -1,
+          -1,
+          "the lease is not renewed: nothing is placed");
+    }
+    if (job.heldBack(now)) {
+      return new Finding(
+          Reason.HELD_BACK,
+          job.waitingSinceMs(),
+          job.notBeforeMs(),
+          -1,
+          job.failures() + " failures in a row");
+    }
+    Team team = ledger.team(s);
+    if (placement.overLimit(job)) {
+      return new Finding(Reason.TEAM_LIMIT, job.waitingSinceMs(), -1, -1, limit(team, s));
+    }
+    if (s.contradicts(zones.size())) {
+      return plain(
+          job,
+          Reason.ZONE_RULES,
+          "never: all "
+              + s.tasks()
+              + " tasks of the gang have to be in one zone, and scatter lets "
+              + s.zoneCap()
+              + " be there");
+    }
+    Tally t = ask(job);
+    if (t.allowed == 0) {
+      return unsupplied(job, Reason.NO_MACHINES, "none of the types, zones and kinds it allows");
+    }
+    if (t.free) {
+      return s.gang() ? gang(job) : aboutToStart(job);
+    }
+    return switch (t.most()) {
+      case ROOM -> unsupplied(job, Reason.NO_ROOM, t.of(Ledger.Refusal.ROOM) + " machines full");
+      case ZONE -> zoneRules(job);
+      case SILENT -> silent(job, t);
+      case DOUBTED -> plain(job, Reason.SLOW_MACHINES, t.of(Ledger.Refusal.DOUBTED) + " machines");
+      case FAILED_HERE ->
+          plain(job, Reason.FAILED_THERE, t.of(Ledger.Refusal.FAILED_HERE) + " machines");
+      case QUOTA -> new Finding(Reason.TEAM_LIMIT, job.waitingSinceMs(), -1, -1, limit(team, s));
+      default -> plain(job, Reason.LEAVING, t.allowed + " machines");
+    };
+  }
+
+  private Finding plain(Job job, Reason reason, String detail) {
+    return new Finding(reason, job.waitingSinceMs(), -1, -1, detail);
+  }
+
+  private Finding aboutToStart(Job job) {
+    return plain(job, Reason.STARTING, "there is room");
+  }
+
+  private Finding gang(Job job) {
+    int places = placement.gangPlaces(job, now).size();
+    asked += ledger.machines().size();
+    if (places >= job.waitingCount()) {
+      return aboutToStart(job);
+    }
+    return unsupplied(
+        job, Reason.GANG, "places for " + places + " of " + job.waitingCount() + " tasks");
+  }
+
+  private String limit(Team team, JobSpec s) {
+    boolean cards = s.cards() > 0 && team.usedCards() + s.cards() > team.cardsMax();
+    return cards
+        ? amount(team.usedCards())
+            + " of "
+            + amount(team.cardsMax())
+            + " cards used by "
+            + team.name
+        : amount(team.usedCpus()) + " of " + amount(team.cpusMax()) + " CPUs used by " + team.name;
+  }
+
+  private Finding zoneRules(Job job) {
+    StringBuilder b = new StringBuilder("its other tasks are in");
+    for (int z = 0; z < zones.size(); z++) {
+      if (job.liveIn(z)) {
+        b.append(' ').append(zones.name(z));
+      }
+    }
+    return plain(
+        job,
+        Reason.ZONE_RULES,
+        b.append(job.spec.together() ? " (together)" : " (scatter)").toString());
+  }
+
+  private Finding silent(Job job, Tally t) {
+    int zone = t.silentZone();
+    if (ledger.health().silence().cut(zone)) {
+      return new Finding(
+          Reason.ZONE_CUT,
+          now - ledger.health().silence().cutForMs(zone, now),
+          -1,
+          zone,
+          t.silentIn[zone] + " machines of zone " + zones.name(zone) + " are not heard");
+    }
+    return new Finding(
+        Reason.MACHINES_SILENT,
+        job.waitingSinceMs(),
+        -1,
+        zone,
+        t.of(Ledger.Refusal.SILENT) + " machines, most in zone " + zones.name(zone));
+  }
+
+  /**
+   * What stands in the way of more room: boots, the cloud, better ranks; else {@code otherwise}.
+   */
+  private Finding unsupplied(Job job, Reason otherwise, String detail) {
+    Group booting = null;
+    int coming = 0;
+    for (Group g : groups) {
+      if (g.coming > 0 && g.allows(job.spec)) {
+        coming += g.coming;
+        if (booting == null || g.dueMs < booting.dueMs) {
+          booting = g;
+        }
+      }
+    }
+    if (booting != null) {
+      return new Finding(
+          otherwise == Reason.GANG ? Reason.GANG : Reason.BOOTING,
+          booting.rentedMs,
+          booting.dueMs,
+          -1,
+          detail + "; " + coming + " machines booting, the first a " + name(booting.variant));
+    }
+    long refused = Long.MAX_VALUE;
+    Variant refusedOne = null;
+    boolean all = true;
+    for (Variant v : offered) {
+      if (!job.spec.allows(v.type().index(), v.zone(), v.spot()) || !v.type().fits(job.spec)) {
+        continue;
+      }
+      long since = supply.refusedSinceMs(v);
+      all &= since >= 0;
+      if (since >= 0 && since < refused) {
+        refused = since;
+        refusedOne = v;
+      }
+    }
+    if (all && refusedOne != null) {
+      return new Finding(
+          otherwise == Reason.GANG ? Reason.GANG : Reason.CLOUD_REFUSES,
+          refused,
+          -1,
+          -1,
+          detail + "; the cloud refuses all it may run on, " + name(refusedOne) + " for longest");
+    }
+    return otherwise == Reason.NO_ROOM ? behind(job, detail) : plain(job, otherwise, detail);
+  }
+
+  /** Whose work of a better rank holds the machines or waits for them. */
+  private Finding behind(Job job, String detail) {
+    double[] cpus = new double[ledger.teams().size()];
+    int rank = job.spec.priority();
+    for (Group g : groups) {
+      if (g.allows(job.spec)) {
+        for (int t = 0; t < cpus.length; t++) {
+          for (int p = 0; p < rank; p++) {
+            cpus[t] += g.held[t][p];
+          }
+        }
+      }
+    }
+    for (int t = 0; t < cpus.length; t++) {
+      for (int p = 0; p < rank; p++) {
+        cpus[t] += ahead[t][p][0] + ahead[t][p][1];
+      }
+      if (!job.guaranteed()) {
+        cpus[t] += ahead[t][rank][1];
+      }
+    }
+    int most = 0;
+    for (int t = 1; t < cpus.length; t++) {
+      if (cpus[t] > cpus[most]) {
+        most = t;
+      }
+    }
+    if (cpus.length == 0 || cpus[most] <= 0) {
+      return plain(job, Reason.NO_ROOM, detail);
+    }
+    return plain(
+        job,
+        Reason.BEHIND,
+        detail
+            + "; work of "
+            + ledger.teams().get(most).name
+            + " that goes first runs on or waits for "
+            + amount(cpus[most])
+            + " CPUs");
+  }
+
+  /** How the decision answered for the machines that a job allows. */
+  private static final class Tally {
+    private static final List<Ledger.Refusal> ALONE =
+        List.of(
+            Ledger.Refusal.ZONE,
+            Ledger.Refusal.FAILED_HERE,
+            Ledger.Refusal.DOUBTED,
+            Ledger.Refusal.QUOTA);
+
+    private final int[] of = new int[Ledger.Refusal.values().length];
+    private final int[] silentIn;
+    private int allowed;
+    private boolean free;
+
+    Tally(int zones) {
+      silentIn = new int[zones];
+    }
+
+    int of(Ledger.Refusal r) {
+      return of[r.ordinal()];
+    }
+
+    /** What stands in the way: where a single rule is all that does, it counts before numbers. */
+    Ledger.Refusal most() {
+      for (Ledger.Refusal r : ALONE) {
+        if (of(r) > 0) {
+          return r;
+        }
+      }
+      Ledger.Refusal best = Ledger.Refusal.ROOM;
+      for (Ledger.Refusal r : Ledger.Refusal.values()) {
+        if (of(r) > of(best)) {
+          best = r;
+        }
+      }
+      return best;
+    }
+
+    int silentZone() {
+      int best = 0;
+      for (int z = 1; z < silentIn.length; z++) {
+        if (silentIn[z] > silentIn[best]) {
+          best = z;
+        }
+      }
+      return best;
+    }
+  }
+
+  /** What the decision goes by in a job that has no tasks whose places or failures count. */
+  private record Shape(
+      int team,
+      boolean careful,
+      double cpus,
+      double cards,
+      double memGb,
+      BitSet types,
+      int zone,
+      boolean spot) {}
+
+  /**
+   * One answer for all jobs that the decision cannot tell apart: most of them are of few classes.
+   */
+  private Tally ask(Job job) {
+    JobSpec s = job.spec;
+    if (s.together() || s.scatter() || job.failedSomewhere()) {
+      return askEach(job);
+    }
+    Shape shape =
+        new Shape(
+            s.team(),
+            s.gang() || Placement.urgent(s),
+            s.cpus(),
+            s.cards(),
+            s.memGb(),
+            s.types(),
+            s.zone(),
+            s.spot());
+    Tally t = tallies.get(shape);
+    if (t == null) {
+      t = askEach(job);
+      tallies.put(shape, t);
+    }
+    return t;
+  }
+
+  private Tally askEach(Job job) {
+    Tally t = new Tally(zones.size());
+    for (Group g : groups) {
+      if (!g.allows(job.spec)) {
+        continue;
+      }
+      for (Machine m : g.machines) {
+        if (ledger.machine(m.name) != m) {
+          continue; // Gone since the survey.
+        }
+        asked++;
+        t.allowed++;
+        Ledger.Refusal no = placement.refusal(job, m, now);
+        if (no == null) {
+          t.free = true;
+          return t;
+        }
+        t.of[no.ordinal()]++;
+        if (no == Ledger.Refusal.SILENT) {
+          t.silentIn[m.zone]++;
+        }
+      }
+    }
+    return t;
+  }
+
+  private String name(Variant v) {
+    return v.type().name() + (v.spot() ? " (spot)" : "") + " in zone " + zones.name(v.zone());
+  }
+
+  private static String amount(double d) {
+    return d == Math.rint(d) ? Long.toString((long) d) : String.format(Locale.ROOT, "%.1f", d);
+  }
+
+  /** The class of a job in words. */
+  public String taskClass(Job job) {
+    return classes.name(job.spec.taskClass());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/explain/Sketch.java
@@ -0,0 +1,268 @@
+package org.mallowroad.core.explain;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.Team;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.explain.Picture.MachineLine;
+import org.mallowroad.core.explain.Picture.ReasonLine;
+import org.mallowroad.core.explain.Picture.TeamLine;
+import org.mallowroad.core.explain.Picture.Totals;
+import org.mallowroad.core.explain.Picture.ZoneLine;
+
+/**
+ * Puts a leader's findings into lines of a picture. Asked in turns: {@link #begin}, {@link #step}
+ * until it says so, then the lines.
+ */
+public final class Sketch {
+  /** Open jobs that are explained and listed; those first in the queue, then those that run. */
+  public static final int MOST_JOBS = 1_000;
+
+  private final Ledger ledger;
+  private final Supply supply;
+  private final Names zones;
+  private final Explainer explainer;
+  private final List<JobLine> jobs = new ArrayList<>();
+  private long now;
+  private int lined;
+
+  /** Over one term's decisions. */
+  public Sketch(Ledger ledger, Supply supply, Names zones, Explainer explainer) {
+    this.ledger = ledger;
+    this.supply = supply;
+    this.zones = zones;
+    this.explainer = explainer;
+  }
+
+  /** Begins anew, with the state of this moment. */
+  public void begin(long at) {
+    now = at;
+    lined = 0;
+    jobs.clear();
+    explainer.begin(at);
+  }
+
+  /** True when all is explained; else to be called again, see {@link Explainer#step}. */
+  public boolean step(int questions) {
+    boolean over = explainer.step(questions, MOST_JOBS);
+    List<Job> all = explainer.jobs();
+    for (; lined < explainer.explained(); lined++) {
+      Job j = all.get(lined);
+      Finding f = explainer.finding(j);
+      jobs.add(line(j, f));
+    }
+    return over;
+  }
+
+  private JobLine line(Job j, Finding f) {
+    double ageS = seconds(now - j.submittedMs());
+    double due = j.spec.dueS();
+    return new JobLine(
+        j.spec.id(),
+        ledger.team(j.spec).name,
+        explainer.taskClass(j),
+        j.spec.priority(),
+        j.spec.tasks(),
+        j.doneCount(),
+        j.runningCount(),
+        explainer.starting(j),
+        j.waitingCount(),
+        explainer.silent(j),
+        ageS,
+        due > 0,
+        due > 0 ? tenths(due - ageS) : 0,
+        j.guaranteed(),
+        j.failures(),
+        f == null ? "" : f.reason().name(),
+        f == null ? -1 : seconds(Math.max(0, now - f.sinceMs())),
+        f == null || f.dueMs() < 0 ? -1 : seconds(Math.max(0, f.dueMs() - now)),
+        f == null || f.zone() < 0 ? "" : zones.name(f.zone()),
+        f == null ? "" : f.detail());
+  }
+
+  private static double seconds(long ms) {
+    return tenths(ms / 1000.0);
+  }
+
+  private static double tenths(double d) {
+    return Math.rint(d * 10) / 10;
+  }
+
+  /** The jobs' lines; those that wait first. */
+  public List<JobLine> jobs() {
+    return List.copyOf(jobs);
+  }
+
+  /** Open jobs beyond the listed ones. */
+  public int jobsLeftOut() {
+    return explainer.jobs().size() - jobs.size();
+  }
+
+  /** Waiting tasks alike in team, class and reason, most tasks first. */
+  public List<ReasonLine> reasons() {
+    return Reasons.of(jobs);
+  }
+
+  /** The teams in the order of the settings. */
+  public List<TeamLine> teams() {
+    int[] waiting = new int[ledger.teams().size()];
+    int[] running = new int[waiting.length];
+    for (Job j : ledger.jobs()) {
+      waiting[j.spec.team()] += j.waitingCount();
+      running[j.spec.team()] += j.runningCount();
+    }
+    List<TeamLine> out = new ArrayList<>();
+    for (int t = 0; t < waiting.length; t++) {
+      Team team = ledger.teams().get(t);
+      out.add(
+          new TeamLine(
+              team.name,
+              tenths(team.usedCpus()),
+              team.cpus(),
+              team.cpusMax(),
+              waiting[t],
+              running[t]));
+    }
+    return out;
+  }
+
+  /** The zones in the order of the settings. */
+  public List<ZoneLine> zones() {
+    int[] machines = new int[zones.size()];
+    int[] silent = new int[zones.size()];
+    for (Machine m : ledger.machines()) {
+      machines[m.zone]++;
+      silent[m.zone] += explainer.unheard(m, now) ? 1 : 0;
+    }
+    List<ZoneLine> out = new ArrayList<>();
+    for (int z = 0; z < machines.length; z++) {
+      long cutMs = ledger.health().silence().cutForMs(z, now);
+      out.add(
+          new ZoneLine(
+              zones.name(z),
+              machines[z],
+              silent[z],
+              ledger.health().silence().cut(z),
+              seconds(cutMs)));
+    }
+    return out;
+  }
+
+  private static final class Sum {
+    private int machines;
+    private int booting;
+    private int empty;
+    private int silent;
+    private int doubted;
+    private int leaving;
+    private double booked;
+  }
+
+  /** Machines by zone, type and kind, those there and those on their way. */
+  public List<MachineLine> machines() {
+    Object2ObjectLinkedOpenHashMap<Variant, Sum> sums = new Object2ObjectLinkedOpenHashMap<>();
+    for (Machine m : ledger.machines()) {
+      Sum s = sums.computeIfAbsent(new Variant(m.type, m.zone, m.spot), k -> new Sum());
+      s.machines++;
+      s.empty += m.empty() ? 1 : 0;
+      s.doubted += m.health.doubted() ? 1 : 0;
+      Ledger.Refusal no = ledger.unfit(m, now);
+      s.silent += explainer.unheard(m, now) ? 1 : 0;
+      s.leaving += no == Ledger.Refusal.LEAVING ? 1 : 0;
+      s.booked += m.type.cpus() - m.freeCpus();
+    }
+    for (Coming c : supply.coming(now)) {
+      sums.computeIfAbsent(c.variant(), k -> new Sum()).booting += c.count();
+    }
+    List<MachineLine> out = new ArrayList<>();
+    sums.forEach(
+        (v, s) -> {
+          long refused = supply.refusedSinceMs(v);
+          out.add(
+              new MachineLine(
+                  zones.name(v.zone()),
+                  v.type().name(),
+                  v.spot(),
+                  s.machines,
+                  s.booting,
+                  s.empty,
+                  s.silent,
+                  s.doubted,
+                  s.leaving,
+                  s.machines * v.type().cpus(),
+                  tenths(s.booked),
+                  Math.rint((s.machines + s.booting) * v.type().price(v.spot()) * 100) / 100,
+                  refused < 0 ? -1 : seconds(now - refused)));
+        });
+    out.sort(
+        Comparator.comparing(MachineLine::zone)
+            .thenComparing(MachineLine::type)
+            .thenComparing(MachineLine::spot));
+    return out;
+  }
+
+  /** Sums over these lines. */
+  public Totals totals(List<TeamLine> teams, List<MachineLine> machines) {
+    int starting = 0;
+    for (JobLine j : jobs) {
+      starting += j.starting();
+    }
+    return new Totals(
+        ledger.jobs().size(),
+        teams.stream().mapToInt(TeamLine::waiting).sum(),
+        starting,
+        teams.stream().mapToInt(TeamLine::running).sum(),
+        ledger.machines().size(),
+        machines.stream().mapToInt(MachineLine::booting).sum(),
+        ledger.started(),
+        ledger.completed(),
+        Math.rint(machines.stream().mapToDouble(MachineLine::moneyPerHour).sum() * 100) / 100,
+        ledger.dirty().size());
+  }
+
+  /** One job's tasks and where they are; its line is of the newest explanation, or null. */
+  public JobPicture job(String id, long at) {
+    Job job = ledger.job(id);
+    if (job == null) {
+      return new JobPicture(id, null, "", List.of(), 0);
+    }
+    now = at;
+    Finding f = explainer.only(job, at);
+    List<JobPicture.TaskLine> tasks = new ArrayList<>();
+    int left = 0;
+    for (int t = 0; t < job.spec.tasks(); t++) {
+      Attempt a = job.live(t);
+      if (a == null) {
+        continue;
+      }
+      if (tasks.size() == JobPicture.MOST) {
+        left++;
+        continue;
+      }
+      Machine m = a.machine;
+      tasks.add(
+          new JobPicture.TaskLine(
+              t,
+              a.number,
+              a.phase.name().toLowerCase(Locale.ROOT),
+              m.name,
+              m.type.name(),
+              zones.name(m.zone),
+              m.spot,
+              explainer.unheard(m, at),
+              a.stopping(),
+              seconds(at - a.sinceMs)));
+    }
+    return new JobPicture(id, line(job, f), f == null ? "" : f.reason().remedy(), tasks, left);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/explain/Supply.java
@@ -0,0 +1,24 @@
+package org.mallowroad.core.explain;
+
+import java.util.List;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.MachineType;
+
+/** What the explanation asks of the office beyond ledger and placement. */
+public interface Supply {
+  /** Machines rented and not yet reporting. */
+  List<Coming> coming(long now);
+
+  /** Since when the cloud has refused the variant; -1 while it has not. */
+  long refusedSinceMs(Variant v);
+
+  /** Machine types as last read. */
+  List<MachineType> types();
+
+  /** True while the leader's lease holds: otherwise nothing is placed. */
+  boolean firm();
+
+  /** When the lease was last renewed. */
+  long renewedMs();
+}
--- a/src/main/java/org/mallowroad/core/health/Silence.java
+++ b/src/main/java/org/mallowroad/core/health/Silence.java
@@ -127,6 +127,16 @@
     return cut[zone];
   }
 
+  /** How long the zone has been held to be cut off; 0 while it is not. */
+  public long cutForMs(int zone, long now) {
+    return cut[zone] ? now - sinceMs[zone] : 0;
+  }
+
+  /** Machines of a zone whose reports are overdue, as of the newest judgement. */
+  public int late(int zone) {
+    return late[zone];
+  }
+
   /** Zones that are held to be cut off. */
   public int cuts() {
     int n = 0;
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -19,7 +19,9 @@
   /** The key that names the leader. */
   public static final String LEADER = "leader";
 
-  private static final String TERM = "term";
+  /** Key of the highest term given out. */
+  public static final String TERM = "term";
+
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
   private static final long LIFE_MS = 3_000;
   private static final long RENEW_MS = 700;
--- a/src/main/java/org/mallowroad/net/Loop.java
+++ b/src/main/java/org/mallowroad/net/Loop.java
@@ -1,10 +1,15 @@
 package org.mallowroad.net;
 
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
 
 /**
  * The one thread on which everything runs: sockets, timers and the core. The machine is a fraction
@@ -21,6 +26,19 @@
     this.thread = thread;
   }
 
+  /** A worker with the one thread that a loop runs on, and one for what Undertow dispatches. */
+  public static XnioWorker worker(String name) throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_NAME, name)
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+  }
+
   /** The thread. */
   public XnioIoThread thread() {
     return thread;
--- /dev/null
+++ b/src/main/java/org/mallowroad/standin/CloudStandIn.java
@@ -0,0 +1,195 @@
+package org.mallowroad.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Json;
+
+/** A cloud; each of its machines is a thread with a worker that runs tasks. */
+public final class CloudStandIn implements AutoCloseable {
+  /** A machine type that it offers. */
+  public record Type(
+      String name, double cpus, double memGb, double price, double bootS, List<String> zones) {}
+
+  private final HttpServer server;
+  private final ExecutorService pool = Executors.newCachedThreadPool(StateStandIn::daemon);
+  private final Map<String, WorkerStandIn> workers = new TreeMap<>();
+  private final Map<String, ObjectNode> hires = new HashMap<>();
+  private final List<String> controllers;
+  private final List<Type> types;
+  private int count;
+
+  /** Where each running task runs. */
+  public final Map<String, String> running = new ConcurrentHashMap<>();
+
+  /** Times a task started while it ran elsewhere; a rule that must never break. */
+  public volatile int ranTwice;
+
+  /** While true every answer is 200 with something that is not JSON. */
+  public volatile boolean garbled;
+
+  /** While true every rent is refused for want of capacity. */
+  public volatile boolean full;
+
+  /** The controller that no worker reaches, or -1. */
+  public volatile int cutFrom = -1;
+
+  /** Zones whose workers stand still. */
+  public final Set<String> stalled = ConcurrentHashMap.newKeySet();
+
+  /** How long a task runs. */
+  public volatile int taskMs = 300;
+
+  /** How long an image is fetched. */
+  public volatile int fetchMs;
+
+  /** From a rent to the worker's first report, as a part of the type's nominal boot time. */
+  public volatile double bootPart;
+
+  /** While true no task ends. */
+  public volatile boolean keeping;
+
+  /** Workers kill their tasks when no report was answered for so long. */
+  public volatile long leaseMs = 26_000;
+
+  /** One type in two zones; the list of controllers may be filled later. */
+  public CloudStandIn(List<String> controllers) throws IOException {
+    this(controllers, List.of(new Type("small", 4, 16, 1, 1, List.of("a", "b"))));
+  }
+
+  /** With the given types. */
+  public CloudStandIn(List<String> controllers, List<Type> types) throws IOException {
+    this.controllers = controllers;
+    this.types = types;
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
+    server.setExecutor(pool);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  /** Where it listens. */
+  public int port() {
+    return server.getAddress().getPort();
+  }
+
+  /** Where the controllers listen. */
+  List<String> controllers() {
+    return controllers;
+  }
+
+  ExecutorService pool() {
+    return pool;
+  }
+
+  /** A task starts on a machine. */
+  void starts(String task, String machine) {
+    if (running.putIfAbsent(task, machine) != null) {
+      ranTwice++;
+    }
+  }
+
+  @Override
+  public synchronized void close() {
+    server.stop(0);
+    workers.values().forEach(WorkerStandIn::end);
+    pool.shutdownNow();
+  }
+
+  private void handle(HttpExchange x) throws IOException {
+    byte[] body = x.getRequestBody().readAllBytes();
+    if (garbled) {
+      StateStandIn.garble(x);
+      return;
+    }
+    ObjectNode o = Json.object();
+    int status = 200;
+    try {
+      synchronized (this) {
+        switch (x.getRequestMethod() + " " + x.getRequestURI().getPath()) {
+          case "GET /machine_types" -> {
+            ArrayNode list = o.putArray("builds");
+            types.forEach(t -> type(list.addObject(), t));
+          }
+          case "GET /machines" -> {
+            ArrayNode list = o.putArray("hearths");
+            workers.values().forEach(w -> list.add(w.listed()));
+            o.put("truncated", false);
+          }
+          case "POST /machines" -> {
+            if (full) {
+              status = 503;
+              o.put("error", "no capacity");
+            } else {
+              o = rented(Json.parseObject(body));
+            }
+          }
+          case "POST /machines/delete" -> {
+            for (JsonNode n : Json.parseObject(body).path("hearths")) {
+              WorkerStandIn w = workers.remove(n.asText());
+              if (w != null) {
+                w.end();
+              }
+            }
+          }
+          default -> status = 404;
+        }
+      }
+    } catch (BadMessage e) {
+      status = 400;
+    }
+    StateStandIn.send(x, status, o);
+  }
+
+  private static void type(ObjectNode o, Type t) {
+    o.put("label", t.name).put("cpus", t.cpus).put("mem_gb", t.memGb).put("local_gb", 50.0);
+    o.put("fetch_gb_per_s", 1.0).put("price", t.price).put("spot_price", 0.4 * t.price);
+    o.put("boot_s", t.bootS);
+    ArrayNode zones = o.putArray("grounds");
+    t.zones.forEach(zones::add);
+  }
+
+  private ObjectNode rented(ObjectNode r) throws BadMessage, IOException {
+    String hire = Json.string(r, "hire", 200);
+    ObjectNode o = hires.get(hire);
+    if (o != null) {
+      return o;
+    }
+    o = Json.object();
+    ArrayNode names = o.putArray("hearths");
+    String type = Json.string(r, "build", 200);
+    double bootS =
+        types.stream()
+            .filter(t -> t.name.equals(type))
+            .mapToDouble(Type::bootS)
+            .findFirst()
+            .orElse(0);
+    for (int i = 0; i < r.path("how_many").asInt(); i++) {
+      WorkerStandIn w =
+          new WorkerStandIn(
+              this,
+              String.format("n-%06d", ++count),
+              type,
+              Json.string(r, "ground", 200),
+              r.path("driftwood").asBoolean(),
+              (long) (1000 * bootPart * bootS));
+      workers.put(w.name, w);
+      names.add(w.name);
+      pool.execute(w);
+    }
+    hires.put(hire, o);
+    return o;
+  }
+}
--- a/src/test/java/org/mallowroad/controller/StateStandIn.java
+++ b/src/main/java/org/mallowroad/standin/StateStandIn.java
@@ -1,4 +1,4 @@
-package org.mallowroad.controller;
+package org.mallowroad.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -7,6 +7,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,58 +18,74 @@
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 
-/** A state service of our own for the tests; it can lose responses and stand still. */
-final class StateStandIn implements AutoCloseable {
+/** A state service; it can lose responses, answer garbage and be away. */
+public final class StateStandIn implements AutoCloseable {
   private record Value(JsonNode v, long mark, long lease) {}
 
   private record Change(long revision, String key, JsonNode v) {}
 
   private final TreeMap<String, Value> data = new TreeMap<>();
-  private final List<Change> changes = new ArrayList<>();
+
+  /** Changes that watches can still be told of, as many as the protocol says. */
+  private static final int MOST_CHANGES = 10_000;
+
+  private final ArrayDeque<Change> changes = new ArrayDeque<>();
+  private long forgotten;
   private final Map<Long, long[]> leases = new HashMap<>();
   private final HttpServer server;
-  private final ExecutorService pool = Executors.newCachedThreadPool();
+  private final ExecutorService pool = Executors.newCachedThreadPool(StateStandIn::daemon);
   private long revision = 1;
   private long nextLease = 1;
   private int transactions;
   private boolean closed;
 
   /** Every so many transactions one is applied without a response; 0: none. */
-  volatile int loseEvery;
+  public volatile int loseEvery;
 
   /** While true every answer is 200 with something that is not JSON. */
-  volatile boolean garbled;
+  public volatile boolean garbled;
 
   /** While true everything gets 503. */
-  volatile boolean down;
+  public volatile boolean down;
 
-  StateStandIn() throws IOException {
+  /** Listens on any port of loopback. */
+  public StateStandIn() throws IOException {
     server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
     server.setExecutor(pool);
     server.createContext("/", this::handle);
     server.start();
   }
 
-  int port() {
+  static Thread daemon(Runnable r) {
+    Thread t = new Thread(r, "stand-in");
+    t.setDaemon(true);
+    return t;
+  }
+
+  /** Where it listens. */
+  public int port() {
     return server.getAddress().getPort();
   }
 
-  synchronized boolean has(String key) {
+  /** True when the key exists. */
+  public synchronized boolean has(String key) {
     return data.containsKey(key);
   }
 
   /** Ends all leases, as if they had not been renewed: whoever leads is deposed unawares. */
-  synchronized void endLeases() {
+  public synchronized void endLeases() {
     leases.clear();
     expire();
   }
 
-  synchronized long term() {
+  /** The highest term given out. */
+  public synchronized long term() {
     Value v = data.get("term");
     return v == null ? 0 : v.v.path("n").asLong();
   }
 
-  synchronized String leader() {
+  /** Who leads, or null. */
+  public synchronized String leader() {
     expire();
     Value v = data.get("leader");
     return v == null ? null : v.v.path("node").asText();
@@ -193,9 +210,9 @@
           if (w.has("put")) {
             data.put(
                 w.get("put").asText(), new Value(w.get("v"), revision, w.path("tenure").asLong(0)));
-            changes.add(new Change(revision, w.get("put").asText(), w.get("v")));
+            changed(w.get("put").asText(), w.get("v"));
           } else if (data.remove(w.get("delete").asText()) != null) {
-            changes.add(new Change(revision, w.get("delete").asText(), null));
+            changed(w.get("delete").asText(), null);
           }
         }
         notifyAll();
@@ -234,6 +251,13 @@
     send(x, status, o);
   }
 
+  private void changed(String key, JsonNode v) {
+    changes.add(new Change(revision, key, v));
+    if (changes.size() > MOST_CHANGES) {
+      forgotten = changes.removeFirst().revision;
+    }
+  }
+
   private synchronized void expire() {
     long now = System.currentTimeMillis();
     leases.values().removeIf(l -> l[1] < now);
@@ -247,7 +271,7 @@
     for (String k : over) {
       revision++;
       data.remove(k);
-      changes.add(new Change(revision, k, null));
+      changed(k, null);
       notifyAll();
     }
   }
@@ -262,6 +286,9 @@
     synchronized (this) {
       while (true) {
         expire();
+        if (from < forgotten) {
+          break;
+        }
         for (Change c : changes) {
           if (c.revision > from && c.key.startsWith(under)) {
             ObjectNode e = events.addObject().put("mark", c.revision);
@@ -279,6 +306,6 @@
       }
       o.put("epoch", revision);
     }
-    send(x, 200, o);
+    send(x, from < forgotten ? 410 : 200, o);
   }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/wire/ConsoleCodec.java
@@ -0,0 +1,91 @@
+package org.mallowroad.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Picture;
+import org.mallowroad.core.explain.Sample;
+import org.mallowroad.core.explain.Sight;
+
+/**
+ * What consoles exchange: the components of the records in {@code core.explain} by their names. A
+ * reader ignores names it does not know; one that misses a list or has another form is told so.
+ */
+public final class ConsoleCodec {
+  /** Prefix of the console's paths; the last part is the version of the form. */
+  public static final String PATH = "/console/v1/";
+
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper()
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private ConsoleCodec() {}
+
+  /** The bytes of any record of {@code core.explain}, or of a list of them. */
+  public static byte[] bytes(Object o) {
+    try {
+      return MAPPER.writeValueAsBytes(o);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** A node's answer; its lists are there and its form is one that this build knows. */
+  public static Sight sight(byte[] body) throws BadMessage {
+    Sight s = read(body, Sight.class);
+    if (s.format() < 1 || s.node() == null || s.stack() == null) {
+      throw new BadMessage("not a console's answer");
+    }
+    Picture p = s.picture();
+    if (p != null
+        && (p.format() != Picture.FORMAT
+            || p.phase() == null
+            || p.totals() == null
+            || p.teams() == null
+            || p.jobs() == null
+            || p.zones() == null
+            || p.machines() == null
+            || p.reasons() == null)) {
+      throw new BadMessage("a picture of form " + p.format() + ", not " + Picture.FORMAT);
+    }
+    return s;
+  }
+
+  /** One job's answer. */
+  public static JobPicture job(byte[] body) throws BadMessage {
+    JobPicture j = read(body, JobPicture.class);
+    if (j.id() == null || j.tasks() == null) {
+      throw new BadMessage("not a console's answer");
+    }
+    return j;
+  }
+
+  /** A node's past. */
+  public static List<Sample> history(byte[] body) throws BadMessage {
+    for (Sample s : read(body, Sample[].class)) {
+      if (s.waiting() == null
+          || s.running() == null
+          || s.machines() == null
+          || s.reasons() == null) {
+        throw new BadMessage("not a console's history");
+      }
+    }
+    return List.of(read(body, Sample[].class));
+  }
+
+  private static <T> T read(byte[] body, Class<T> type) throws BadMessage {
+    try {
+      T t = MAPPER.readValue(body, type);
+      if (t != null) {
+        return t;
+      }
+    } catch (IOException e) {
+      // Falls through: what the library says names classes, which helps no user.
+    }
+    throw new BadMessage("not a console's answer");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/cli/LookTest.java
@@ -0,0 +1,58 @@
+package org.mallowroad.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Wrong use is one clear line and the documented code. */
+final class LookTest {
+  @TempDir Path dir;
+
+  private record Case(int code, String error, String... args) {}
+
+  @Test
+  void wrongUse() throws Exception {
+    String off = dir.resolve("off.xml").toString();
+    Files.writeString(Path.of(off), "<mallowroad/>");
+    String bad = dir.resolve("bad.xml").toString();
+    Files.writeString(Path.of(bad), "<mallowroad><console listen='here'/></mallowroad>");
+    String none = "127.0.0.1:1";
+    Case[] table = {
+      new Case(2, "not a job id", "why", "ratings", "--nodes", none),
+      new Case(3, "neither a node nor the state service answers", "why", "job-1", "--nodes", none),
+      new Case(2, "--nodes: here: host:port is needed", "top", "--once", "--nodes", "here"),
+      new Case(2, "--state: there: host:port is needed", "status", "--state", "there"),
+      new Case(3, "", "top", "--once", "--nodes", none),
+      new Case(3, "", "top", "--json", "--nodes", none),
+      new Case(3, "", "status", "--nodes", none, "--state", none),
+      new Case(2, "cannot be read", "status", "--config", dir.resolve("no.toml").toString()),
+      new Case(2, "cannot be written", "report", "--nodes", none, "--out", dir.toString()),
+      new Case(3, "cannot be reached", "job", "--server", none, "job-1"),
+      new Case(2, "not an address", "job", "--server", "a b", "job-1"),
+      new Case(2, "--stall: west: north or south", "try", "--stall", "west"),
+    };
+    PrintStream before = System.err;
+    PrintStream beforeOut = System.out;
+    for (Case c : table) {
+      ByteArrayOutputStream err = new ByteArrayOutputStream();
+      try {
+        System.setErr(new PrintStream(err, true, StandardCharsets.UTF_8));
+        System.setOut(new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8));
+        assertEquals(c.code, Main.line(false).execute(c.args), String.join(" ", c.args));
+      } finally {
+        System.setErr(before);
+        System.setOut(beforeOut);
+      }
+      String text = err.toString(StandardCharsets.UTF_8);
+      assertTrue(text.contains(c.error), text);
+      assertTrue(text.lines().count() <= 1 && !text.contains("Exception"), text);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/console/PulseTest.java
@@ -0,0 +1,46 @@
+package org.mallowroad.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mallowroad.core.explain.Picture;
+
+/** What the console's thread concludes and keeps by itself. */
+final class PulseTest {
+  @Test
+  void aLoopIsStuckWhileItsBeatIsOut() {
+    Pulse p = new Pulse();
+    assertTrue(p.send(10_000));
+    assertFalse(p.send(10_500), "one beat at a time, or a stuck loop would find a queue of them");
+    assertFalse(p.stuck(11_000));
+    assertTrue(p.stuck(11_001));
+    assertEquals(1_001, p.lateMs(11_001));
+    p.back(14_000);
+    assertFalse(p.stuck(14_100));
+    assertEquals(4_000, p.lateMs(14_100), "how late it was stays to be seen until the next beat");
+    assertTrue(p.send(14_500));
+    p.back(14_502);
+    assertEquals(2, p.lateMs(15_000));
+  }
+
+  @Test
+  void thePastIsBoundedAndALeadersOnly() {
+    Past past = new Past(3);
+    Picture.Totals none = new Picture.Totals(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    for (int i = 0; i < 100; i++) {
+      Picture.Phase phase = i < 10 ? Picture.Phase.FOLLOWING : Picture.Phase.LEADING;
+      past.take(
+          new Picture(
+              1, "n", phase, 1, "n", i, 0, 0, 0, true, none, List.of(), List.of(), 0, List.of(),
+              List.of(), List.of()),
+          1_000L * i);
+      assertTrue(past.points().size() <= 3);
+      assertTrue(i >= 10 || past.points().isEmpty());
+    }
+    // Points at 10, 25, 40, 55, 70 and 85 s; the last three are kept.
+    assertEquals(List.of(55L, 70L, 85L), past.points().stream().map(s -> s.atMs()).toList());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/console/view/ScreenTest.java
@@ -0,0 +1,193 @@
+package org.mallowroad.console.view;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mallowroad.console.report.Report;
+import org.mallowroad.console.view.NodeView.Standing;
+import org.mallowroad.console.view.Screen.Page;
+import org.mallowroad.console.view.Screen.Sort;
+import org.mallowroad.core.explain.Picture;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.explain.Reason;
+import org.mallowroad.core.explain.Reasons;
+import org.mallowroad.core.explain.Sample;
+import org.mallowroad.core.explain.Sight;
+
+/** What people see: within the width, without what a terminal or a browser would obey. */
+final class ScreenTest {
+  private static final String EVIL = "<script>x\u001b[2J\u202e";
+
+  private static JobLine job(int i, String team, Reason r, int waiting, double dueS) {
+    return new JobLine(
+        "job-" + i,
+        team,
+        "class",
+        2,
+        waiting + 1,
+        0,
+        1,
+        0,
+        waiting,
+        0,
+        100 + i,
+        dueS != 0,
+        dueS,
+        false,
+        0,
+        r == null ? "" : r.name(),
+        r == null ? -1 : 10 + i,
+        -1,
+        "",
+        "evidence");
+  }
+
+  private static Overview overview(List<JobLine> jobs) {
+    Picture p =
+        new Picture(
+            Picture.FORMAT,
+            "n0",
+            Picture.Phase.LEADING,
+            3,
+            "n0",
+            1_000,
+            500,
+            4,
+            0.1,
+            true,
+            new Picture.Totals(jobs.size(), 9, 0, 5, 2, 1, 7, 6, 1.5, 0),
+            List.of(new Picture.TeamLine(EVIL, 4, 8, 16, 9, 5)),
+            jobs,
+            0,
+            List.of(new Picture.ZoneLine("north", 4, 3, true, 12)),
+            List.of(new Picture.MachineLine("north", EVIL, true, 2, 1, 0, 1, 0, 0, 8, 4, 1.5, 30)),
+            Reasons.of(jobs));
+    List<NodeView> nodes =
+        List.of(
+            NodeView.answered("127.0.0.1:1", 3, new Sight(1, "n0", 0, List.of(), 0.2, p)),
+            NodeView.silent("127.0.0.1:2", Standing.REFUSING, "refuses connections", 1));
+    return Overview.of(nodes, Recorded.none("", ""), 1_000_000);
+  }
+
+  private static List<JobLine> many(int n) {
+    List<JobLine> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(job(i, i % 2 == 0 ? EVIL : "b", Reason.TEAM_LIMIT, i, i % 3 == 0 ? 500 - i : 0));
+    }
+    return out;
+  }
+
+  @Test
+  void everyPageKeepsToItsWidthAndHeightAndObeysNobody() {
+    Overview o = overview(many(400));
+    for (Page page : Page.values()) {
+      for (int width : new int[] {10, 80, 132}) {
+        Screen s = new Screen(width, 24);
+        for (int at : new int[] {0, 3, 9_999}) {
+          List<String> lines = s.draw(o, new Screen.Look(page, Sort.QUEUE, "", at));
+          assertTrue(lines.size() <= 24, page + " has " + lines.size() + " lines");
+          for (String l : lines) {
+            assertTrue(l.length() <= Math.max(80, width), l);
+            assertTrue(l.chars().noneMatch(c -> Character.isISOControl(c) || c == 0x202e), l);
+          }
+        }
+      }
+    }
+  }
+
+  @Test
+  void linesAreSortedFilteredAndPaged() {
+    Overview o = overview(many(100));
+    Screen s = new Screen(80, 0);
+    assertEquals("job-99", firstJob(s, o, new Screen.Look(Page.JOBS, Sort.WAITING, "", 0)));
+    assertEquals("job-99", firstJob(s, o, new Screen.Look(Page.JOBS, Sort.LONGEST, "", 0)));
+    assertEquals("job-99", firstJob(s, o, new Screen.Look(Page.JOBS, Sort.DUE, "", 0)));
+    assertEquals("job-0", firstJob(s, o, new Screen.Look(Page.JOBS, Sort.QUEUE, "", 0)));
+    List<String> found = s.draw(o, new Screen.Look(Page.JOBS, Sort.QUEUE, "JOB-42", 0));
+    assertEquals(1, found.stream().filter(l -> l.startsWith("job-")).count());
+    // Each job stands on exactly one of the pages.
+    Screen small = new Screen(80, 24);
+    List<String> seen = new ArrayList<>();
+    for (int page = 0; page < 30; page++) {
+      List<String> lines = small.draw(o, new Screen.Look(Page.JOBS, Sort.QUEUE, "", page));
+      String last = lines.get(lines.size() - 1);
+      lines.stream().filter(l -> l.startsWith("job-")).map(l -> l.split(" ")[0]).forEach(seen::add);
+      if (last.matches("-- page (\\d+) of \\1 --")) {
+        break;
+      }
+    }
+    assertEquals(100, seen.size());
+    assertEquals(100, seen.stream().distinct().count());
+  }
+
+  private static String firstJob(Screen s, Overview o, Screen.Look look) {
+    return s.draw(o, look).stream()
+        .filter(l -> l.startsWith("job-"))
+        .findFirst()
+        .orElse("")
+        .split(" ")[0];
+  }
+
+  @Test
+  void thePageHoldsNothingOfTheUsersThatABrowserObeys() throws Exception {
+    Overview o = overview(many(20));
+    List<Sample> past = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      Picture p = o.picture();
+      Sample s = Sample.of(p);
+      past.add(
+          new Sample(
+              1_000 + 15_000 * i,
+              3,
+              10 * i,
+              9 * i,
+              1.5,
+              s.waiting(),
+              s.running(),
+              s.machines(),
+              s.reasons()));
+    }
+    String page = Report.page(o, past);
+    assertFalse(page.contains("<script>x"), "a team's name is not escaped");
+    assertTrue(page.contains("&lt;script&gt;x"));
+    assertEquals(6, page.split("<svg ", -1).length - 1, "plots");
+    assertFalse(page.matches("(?s).*(src|href)=\"?(https?:)?//.*"), "asks for a network");
+    int first = page.indexOf("Look at this first");
+    assertTrue(first > page.indexOf("Controllers") && page.indexOf("Zone north") > first);
+  }
+
+  @Test
+  void whatComesFirstIsWhatStandsInMostPeoplesWay() {
+    List<JobLine> jobs =
+        List.of(
+            job(1, "a", Reason.TEAM_LIMIT, 5, 0),
+            job(2, "b", Reason.CLOUD_REFUSES, 50, -30),
+            job(3, "b", null, 0, 0));
+    List<String> first = overview(jobs).first();
+    assertTrue(first.get(0).startsWith("Zone north is cut off: 3 of 4 machines"), first.toString());
+    assertTrue(first.get(1).startsWith("1 job is past the deadline, job-2"), first.toString());
+    assertTrue(first.get(2).startsWith("50 tasks of b"), first.toString());
+    assertTrue(first.get(3).startsWith("5 tasks of a"), first.toString());
+    assertTrue(first.get(4).startsWith("Node 127.0.0.1:2 is refusing"), first.toString());
+  }
+
+  @Test
+  void ages() {
+    Object[][] table = {
+      {-1.0, "-"},
+      {0.04, "0.0s"},
+      {9.94, "9.9s"},
+      {9.96, "10s"},
+      {59.6, "1m00s"},
+      {3599.4, "59m59s"},
+      {7505.0, "2h05m"},
+    };
+    for (Object[] row : table) {
+      assertEquals(row[1], Ages.of((Double) row[0]));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/ConsoleTest.java
@@ -0,0 +1,276 @@
+package org.mallowroad.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mallowroad.config.ConsoleSettings;
+import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.Settings.Endpoint;
+import org.mallowroad.config.Settings.TeamSetting;
+import org.mallowroad.console.ask.Asker;
+import org.mallowroad.console.report.Report;
+import org.mallowroad.console.view.NodeView;
+import org.mallowroad.console.view.NodeView.Standing;
+import org.mallowroad.console.view.Overview;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.explain.Reason;
+import org.mallowroad.standin.CloudStandIn;
+import org.mallowroad.standin.Loopback;
+import org.mallowroad.standin.StateStandIn;
+
+/**
+ * What the console says while the service is in trouble, over loopback: within five seconds the
+ * report names the jobs that are stalled and why.
+ */
+final class ConsoleTest {
+  private static final long WITHIN_NS = 5_000_000_000L;
+
+  private final HttpClient http =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final List<String> controllers = new CopyOnWriteArrayList<>();
+  private StateStandIn state;
+  private CloudStandIn cloud;
+  private Asker asker;
+
+  @BeforeEach
+  void start() throws Exception {
+    state = new StateStandIn();
+    cloud =
+        new CloudStandIn(
+            controllers,
+            List.of(new CloudStandIn.Type("small", 4, 16, 1, 1, List.of("north", "south"))));
+    cloud.taskMs = 600_000;
+    Loopback site =
+        new Loopback(
+            List.of("north", "south"),
+            List.of(new TeamSetting("team", 8, 0, 64, 0), new TeamSetting("idle", 0, 0, 4, 0)),
+            cloud,
+            state,
+            0.3,
+            20);
+    OperatorSettings d = OperatorSettings.defaults();
+    ConsoleSettings c = new ConsoleSettings(new Endpoint("127.0.0.1", 0), 1_000, 100, 10);
+    List<String> consoles = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      Node n =
+          new Node(
+              new Site(
+                  site.node(i, 3), new OperatorSettings(d.fleet(), d.health(), Optional.of(c))));
+      n.start();
+      nodes.put("n" + i, n);
+      controllers.add(n.address());
+      consoles.add(n.consoleAddress());
+    }
+    asker = new Asker(consoles, "127.0.0.1:" + state.port());
+    await("a leader", 40_000_000_000L, o -> o.obstacle().isEmpty());
+    // Six machines in each zone, and a job that its team's limit holds.
+    submit("job-000001", "team", "north", 6, 4);
+    submit("job-000002", "team", "south", 6, 4);
+    submit("job-000003", "idle", null, 3, 4);
+    await(
+        "tasks that run",
+        40_000_000_000L,
+        o -> {
+          return o.picture() != null
+              && o.picture().totals().running() == 13
+              && reason(o, "job-000003").equals(Reason.TEAM_LIMIT.name());
+        });
+  }
+
+  @AfterEach
+  void stop() {
+    asker.close();
+    nodes.values().forEach(Node::stop);
+    cloud.close();
+    state.close();
+  }
+
+  private void submit(String id, String team, String zone, int tasks, double cpus)
+      throws Exception {
+    String job =
+        """
+        {"name_id":"%s","docket":"c","crew":"%s","form":"sweep","rank":"normal","moves":%d,
+         "cpus":%s,"cards":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"ground":%s,"together":false,
+         "scatter":false,"driftwood":true,"reckon_s":600.0,"cairn_s":0.0,"stow_s":0.0}
+        """
+            .formatted(id, team, tasks, cpus, zone == null ? "null" : "\"" + zone + "\"");
+    assertEquals(
+        201,
+        http.send(
+                HttpRequest.newBuilder(URI.create("http://" + controllers.get(0) + "/v1/jobs"))
+                    .POST(HttpRequest.BodyPublishers.ofString(job))
+                    .build(),
+                HttpResponse.BodyHandlers.discarding())
+            .statusCode());
+  }
+
+  private Overview await(String what, long ns, Predicate<Overview> until)
+      throws InterruptedException {
+    long end = System.nanoTime() + ns;
+    Overview o = asker.look();
+    while (!until.test(o)) {
+      assertTrue(System.nanoTime() < end, "no " + what + " in time: " + o.first());
+      Thread.sleep(50);
+      o = asker.look();
+    }
+    return o;
+  }
+
+  private static JobLine line(Overview o, String id) {
+    return o.jobs().stream().filter(j -> j.id().equals(id)).findFirst().orElse(null);
+  }
+
+  private static String reason(Overview o, String id) {
+    JobLine j = line(o, id);
+    return j == null ? "" : j.reason();
+  }
+
+  private Standing standing(Overview o, String node) {
+    return o.nodes().stream()
+        .filter(n -> n.name().equals(node))
+        .map(NodeView::standing)
+        .findFirst()
+        .orElse(null);
+  }
+
+  private void blockLeader(CountDownLatch over) {
+    nodes
+        .get(state.leader())
+        .loop()
+        .soon(
+            () -> {
+              try {
+                over.await(30, TimeUnit.SECONDS);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+  }
+
+  @Test
+  void aZoneThatStallsIsNamedWithItsJobs() throws Exception {
+    cloud.stalled.add("north");
+    Overview o =
+        await(
+            "stalled zone",
+            WITHIN_NS,
+            x ->
+                x.first().stream()
+                        .anyMatch(f -> f.contains("Zone north") && f.contains("job-000001"))
+                    && line(x, "job-000001").silent() == 6);
+    JobLine j = line(o, "job-000001");
+    assertTrue(
+        j.reason().equals(Reason.ZONE_CUT.name())
+            || j.reason().equals(Reason.NOT_PROVEN_GONE.name()),
+        j.toString());
+    assertEquals("north", j.zone());
+    assertEquals("", reason(o, "job-000002"));
+    String page = Report.page(o, asker.history());
+    assertTrue(page.contains("Zone north") && page.contains("job-000001"), page);
+    JobPicture p = asker.job("job-000001");
+    assertEquals(6, p.tasks().stream().filter(t -> t.silent() && t.zone().equals("north")).count());
+    assertFalse(p.remedy().isEmpty());
+  }
+
+  @Test
+  void aLeaderThatIsStuckIsNamedWithWhereItIs() throws Exception {
+    CountDownLatch over = new CountDownLatch(1);
+    String leader = state.leader();
+    blockLeader(over);
+    Overview o = await("stuck loop", WITHIN_NS, x -> x.obstacle().equals(Reason.LOOP_STUCK.name()));
+    assertEquals(Standing.STANDING_STILL, standing(o, leader));
+    assertEquals(Reason.LOOP_STUCK.name(), reason(o, "job-000003"));
+    assertTrue(line(o, "job-000003").detail().contains("its team is at its limit"));
+    String stack = o.nodes().stream().flatMap(n -> n.sight().stack().stream()).toList().toString();
+    assertTrue(stack.contains("ConsoleTest"), stack);
+    // Another takes over, and the one that stands still is still told of.
+    o =
+        await(
+            "another leader",
+            20_000_000_000L,
+            x -> x.obstacle().isEmpty() && !reason(x, "job-000003").isEmpty());
+    assertEquals(Standing.STANDING_STILL, standing(o, leader));
+    assertTrue(o.first().toString().contains("Node " + leader + " is standing still"));
+    over.countDown();
+  }
+
+  @Test
+  void withoutAnyControllerTheRecordsSayWhatIsOpen() throws Exception {
+    nodes.values().forEach(Node::stop);
+    Overview o =
+        await(
+            "no controller",
+            WITHIN_NS,
+            x ->
+                x.obstacle().equals(Reason.NO_LEADER.name())
+                    && x.nodes().stream().allMatch(n -> n.standing() == Standing.REFUSING));
+    assertTrue(o.source().startsWith("records"), o.source());
+    assertEquals(3, o.jobs().size());
+    assertEquals(Reason.NO_LEADER.name(), reason(o, "job-000003"));
+    assertEquals(2, line(o, "job-000003").waiting());
+    assertTrue(Report.page(o, List.of()).contains("no controller answers"));
+  }
+
+  @Test
+  void withoutTheStateServiceThatIsTheReason() throws Exception {
+    state.down = true;
+    Overview o =
+        await("state outage", WITHIN_NS, x -> x.obstacle().equals(Reason.STATE_AWAY.name()));
+    assertEquals(Reason.STATE_AWAY.name(), reason(o, "job-000003"));
+    assertTrue(o.first().get(0).contains("state service"), o.first().toString());
+    state.down = false;
+    await("service again", 20_000_000_000L, x -> x.obstacle().isEmpty());
+  }
+
+  @Test
+  void aTakeoverIsSaidToBeOne() throws Exception {
+    state.endLeases();
+    Overview o = await("takeover", WITHIN_NS, x -> x.obstacle().equals(Reason.TAKING_OVER.name()));
+    assertTrue(o.first().get(0).contains("takes over in term 2"), o.first().toString());
+    o = await("its end", 20_000_000_000L, x -> x.obstacle().isEmpty());
+    assertEquals(13, o.picture().totals().running());
+    assertEquals(Reason.TEAM_LIMIT.name(), reason(o, "job-000003"));
+  }
+
+  @Test
+  void whatIsNotKnownHereIsAnsweredAtOnce() throws Exception {
+    String at = "http://" + nodes.get("n0").consoleAddress() + "/console/v1/";
+    Object[][] table = {
+      {"GET", "picture", 200},
+      {"GET", "history", 200},
+      {"GET", "jobs/job-999", 404},
+      {"GET", "jobs/../../x", 404},
+      {"GET", "else", 404},
+      {"POST", "picture", 405},
+      {"DELETE", "jobs/job-000001", 405},
+    };
+    for (Object[] row : table) {
+      HttpResponse<String> r =
+          http.send(
+              HttpRequest.newBuilder(URI.create(at + row[1]))
+                  .method((String) row[0], HttpRequest.BodyPublishers.noBody())
+                  .build(),
+              HttpResponse.BodyHandlers.ofString());
+      assertEquals(row[2], r.statusCode(), row[0] + " " + row[1]);
+    }
+  }
+}
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -26,6 +26,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
+import org.mallowroad.standin.CloudStandIn;
+import org.mallowroad.standin.StateStandIn;
 
 /** The whole service over loopback sockets, with stand-ins for state, cloud and workers. */
 final class ServiceTest {
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/ExplainTest.java
@@ -0,0 +1,527 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.explain.Explainer;
+import org.mallowroad.core.explain.Finding;
+import org.mallowroad.core.explain.JobPicture;
+import org.mallowroad.core.explain.Reason;
+import org.mallowroad.core.explain.Sketch;
+import org.mallowroad.core.explain.Supply;
+
+/** Each reason with what brings it about, and gone when that is taken away. */
+final class ExplainTest {
+  private static final long TERM = 7;
+
+  /** Two teams, two zones of ten machines of 4 CPUs when all are there, virtual time. */
+  private static final class World implements Supply {
+    final Names zones = new Names();
+    final Names classes = new Names();
+    final MachineType type =
+        new MachineType(0, "t4", 4, 0, 16, 100, 1, 1.0, 0.4, 30, new int[] {0, 1});
+    final Team team = new Team("team", 4, 0, 24, 0);
+    final Ledger ledger;
+    final Placement placement;
+    final Explainer explainer;
+    final Sketch sketch;
+    final List<Coming> coming = new ArrayList<>();
+    boolean refusing;
+    boolean firm = true;
+    long now = 1_000_000;
+    int seq;
+    int named;
+
+    World() {
+      zones.intern("north");
+      zones.intern("south");
+      classes.intern("c");
+      ledger = new Ledger(TERM, 20, 3, List.of(team, new Team("other", 8, 0, 400, 0)), zones);
+      placement = new Placement(ledger);
+      explainer = new Explainer(ledger, placement, this, zones, classes);
+      sketch = new Sketch(ledger, this, zones, explainer);
+    }
+
+    Machine machine(int zone) {
+      Machine m = ledger.meet(String.format("n-%03d", ++named), type, zone, false, now);
+      report(m);
+      return m;
+    }
+
+    void machines(int n) {
+      for (int i = 0; i < n; i++) {
+        machine(i % 2);
+      }
+    }
+
+    void report(Machine m) {
+      List<WorkerReport.Entry> all = new ArrayList<>();
+      for (Attempt a : m.attempts()) {
+        if (a.phase != Attempt.Phase.RECORDING) {
+          all.add(
+              new WorkerReport.Entry(
+                  a.job.spec.id(), a.task, a.number, WorkerReport.State.RUNNING, null));
+        }
+      }
+      ledger.report(
+          m, new WorkerReport(m.name, "h:1", "t4", "a", false, 1, ++seq, TERM, -1, all), true, now);
+      m.answeredMs = now;
+    }
+
+    Job job(Specs s) {
+      return ledger.accept(s.build(), 5, 0, now);
+    }
+
+    void run() {
+      placement.place(now);
+      Specs.commit(ledger, now);
+      for (Machine m : new ArrayList<>(ledger.machines())) {
+        if (ledger.unfit(m, now) != Ledger.Refusal.SILENT) {
+          report(m);
+        }
+      }
+    }
+
+    Finding why(Job j) {
+      explainer.begin(now);
+      assertTrue(explainer.step(Integer.MAX_VALUE, Integer.MAX_VALUE));
+      return explainer.finding(j);
+    }
+
+    /** The machines but these are heard again after a while. */
+    void silent(long ms, List<Machine> but) {
+      for (long end = now + ms; now < end; ) {
+        now += 500;
+        for (Machine m : new ArrayList<>(ledger.machines())) {
+          if (!but.contains(m)) {
+            report(m);
+          }
+        }
+        ledger.health().still().turn(now);
+        ledger.health().still().beat();
+        ledger.health().silence().judge(now);
+      }
+    }
+
+    List<Machine> in(int zone) {
+      return ledger.machines().stream().filter(m -> m.zone == zone).toList();
+    }
+
+    @Override
+    public List<Coming> coming(long at) {
+      return coming;
+    }
+
+    @Override
+    public long refusedSinceMs(Variant v) {
+      return refusing ? 990_000 : -1;
+    }
+
+    @Override
+    public List<MachineType> types() {
+      return List.of(type);
+    }
+
+    @Override
+    public boolean firm() {
+      return firm;
+    }
+
+    @Override
+    public long renewedMs() {
+      return now - 4_000;
+    }
+  }
+
+  /** Brings the obstacle about and returns the job that waits. */
+  private interface Setup {
+    Job in(World w);
+  }
+
+  /** Takes the obstacle away. */
+  private interface Remedy {
+    void in(World w);
+  }
+
+  private static DynamicTest reason(Reason expected, String detail, Setup setup, Remedy remedy) {
+    return DynamicTest.dynamicTest(
+        expected + ": " + detail,
+        () -> {
+          World w = new World();
+          Job j = setup.in(w);
+          Finding f = w.why(j);
+          assertNotNull(f);
+          assertEquals(expected, f.reason(), f.toString());
+          assertTrue(f.detail().contains(detail), f.detail());
+          assertTrue(f.sinceMs() <= w.now, f.toString());
+          int before = j.waitingCount();
+          remedy.in(w);
+          if (w.firm) {
+            w.placement.place(w.now);
+          }
+          Finding then = w.why(j);
+          assertTrue(
+              j.waitingCount() < before || then == null || then.reason() != expected,
+              "still " + then);
+        });
+  }
+
+  @TestFactory
+  Stream<DynamicTest> reasons() {
+    return Stream.of(
+        reason(
+            Reason.TEAM_LIMIT,
+            "24 of 24 CPUs used by team",
+            w -> {
+              w.machines(10);
+              Job j = w.job(Specs.array("job-1", 20, 2));
+              w.run();
+              return j;
+            },
+            w -> w.team.usedCpus = 0),
+        reason(
+            Reason.BEHIND,
+            "work of other that goes first runs on or waits for 40 CPUs",
+            w -> {
+              w.machines(10);
+              w.job(Specs.array("job-1", 10, 4).team(1).priority(1));
+              w.run();
+              return w.job(Specs.array("job-2", 3, 2));
+            },
+            w -> w.machines(4)),
+        reason(
+            Reason.NO_ROOM,
+            "2 machines full",
+            w -> {
+              w.machines(2);
+              w.job(Specs.array("job-1", 2, 4));
+              w.run();
+              return w.job(Specs.array("job-2", 3, 2));
+            },
+            w -> w.machines(2)),
+        reason(
+            Reason.BOOTING,
+            "2 machines booting, the first a t4 in zone south",
+            w -> {
+              w.coming.add(new Coming(new Variant(w.type, 1, false), 2, w.now - 5_000));
+              return w.job(Specs.array("job-1", 3, 2));
+            },
+            w -> {
+              w.coming.clear();
+              w.machine(1);
+            }),
+        reason(
+            Reason.CLOUD_REFUSES,
+            "the cloud refuses all it may run on, t4 in zone south",
+            w -> {
+              w.refusing = true;
+              w.machine(0);
+              return w.job(Specs.array("job-1", 3, 2).zone(1));
+            },
+            w -> w.refusing = false),
+        reason(
+            Reason.NO_MACHINES,
+            "none of the types, zones and kinds it allows",
+            w -> {
+              w.machine(0);
+              return w.job(Specs.array("job-1", 3, 2).zone(1));
+            },
+            w -> w.machine(1)),
+        reason(
+            Reason.ZONE_CUT,
+            "10 machines of zone north are not heard",
+            w -> {
+              w.machines(20);
+              w.silent(10_000, w.in(0));
+              return w.job(Specs.array("job-1", 3, 2).zone(0));
+            },
+            w -> w.in(0).forEach(w::report)),
+        reason(
+            Reason.ZONE_CUT,
+            "in zone north, which is cut off",
+            w -> {
+              w.machines(20);
+              Job j = w.job(Specs.array("job-1", 3, 2).zone(0));
+              w.run();
+              w.silent(10_000, w.in(0));
+              return j;
+            },
+            w -> w.in(0).forEach(m -> w.ledger.machineGone(m, w.now))),
+        reason(
+            Reason.MACHINES_SILENT,
+            "1 machines, most in zone north",
+            w -> {
+              w.machines(2);
+              w.silent(10_000, w.in(0));
+              return w.job(Specs.array("job-1", 3, 2).zone(0));
+            },
+            w -> w.in(0).forEach(w::report)),
+        reason(
+            Reason.NOT_PROVEN_GONE,
+            "2 tasks on silent machines, one is n-001 in zone north",
+            w -> {
+              w.machines(2);
+              Job j = w.job(Specs.array("job-1", 2, 2).zone(0));
+              w.run();
+              w.silent(8_000, w.in(0));
+              return j;
+            },
+            w -> {
+              w.now += 30_000;
+              w.ledger.expireSilent(w.now);
+            }),
+        reason(
+            Reason.GANG,
+            "places for 4 of 5 tasks",
+            w -> {
+              w.machines(4);
+              return w.job(Specs.array("job-1", 5, 3).gang());
+            },
+            w -> w.machines(1)),
+        reason(
+            Reason.ZONE_RULES,
+            "its other tasks are in north (together)",
+            w -> {
+              w.machine(0);
+              Job j = w.job(Specs.array("job-1", 3, 4).together());
+              w.run();
+              w.machines(8);
+              w.job(Specs.array("job-2", 4, 4).team(1).zone(0).priority(1));
+              w.run();
+              return j;
+            },
+            w -> w.machine(0)),
+        reason(
+            Reason.ZONE_RULES,
+            "never: all 4 tasks of the gang have to be in one zone, and scatter lets 2 be there",
+            w -> {
+              w.machines(8);
+              return w.job(Specs.array("job-1", 4, 1).gang().scatter().zone(0));
+            },
+            w -> w.ledger.withdraw(w.ledger.job("job-1"), w.now)),
+        reason(
+            Reason.SLOW_MACHINES,
+            "1 machines",
+            w -> {
+              w.machines(10);
+              Machine m = w.machine(0);
+              w.job(Specs.array("job-0", 10, 4).team(1));
+              for (int i = 0; i < 5; i++) {
+                w.ledger.health().failed(m.health, 100 + i, false, w.now);
+              }
+              assertTrue(m.health.doubted());
+              w.run();
+              return w.job(Specs.array("job-1", 1, 1).priority(1));
+            },
+            w -> w.machine(0)),
+        reason(
+            Reason.FAILED_THERE,
+            "1 machines",
+            w -> {
+              w.machine(0);
+              Job j = w.job(Specs.array("job-1", 1, 1));
+              w.run();
+              w.ledger.resolve(j.live(0), Ledger.Outcome.ERROR, w.now);
+              w.now += 2_000;
+              w.ledger.machines().forEach(w::report);
+              return j;
+            },
+            w -> w.machine(0)),
+        reason(
+            Reason.HELD_BACK,
+            "1 failures in a row",
+            w -> {
+              w.machines(2);
+              Job j = w.job(Specs.array("job-1", 1, 1));
+              w.run();
+              w.ledger.resolve(j.live(0), Ledger.Outcome.REFUSED, w.now);
+              return j;
+            },
+            w -> w.now += 1_000),
+        reason(
+            Reason.LEAVING,
+            "2 machines",
+            w -> {
+              w.machines(2);
+              w.ledger.machines().forEach(m -> m.draining = true);
+              return w.job(Specs.array("job-1", 1, 1));
+            },
+            w -> w.machine(0)),
+        reason(
+            Reason.STATE_AWAY,
+            "the lease is not renewed",
+            w -> {
+              w.machines(2);
+              w.firm = false;
+              return w.job(Specs.array("job-1", 1, 1));
+            },
+            w -> w.firm = true),
+        reason(
+            Reason.AWAITS_COMMIT,
+            "1 starts, 1 records wait",
+            w -> {
+              w.machines(2);
+              Job j = w.job(Specs.array("job-1", 1, 1));
+              w.placement.place(w.now);
+              return j;
+            },
+            w -> Specs.commit(w.ledger, w.now)),
+        reason(
+            Reason.IMAGE,
+            "1 tasks wait for their image",
+            w -> {
+              Machine m = w.machine(0);
+              Job j = w.job(Specs.array("job-1", 1, 1));
+              w.placement.place(w.now);
+              Specs.commit(w.ledger, w.now);
+              w.ledger.report(
+                  m, Specs.report(m, ++w.seq, TERM, WorkerReport.State.PULLING), true, w.now);
+              return j;
+            },
+            w -> w.ledger.machines().forEach(w::report)),
+        reason(
+            Reason.STARTING,
+            "there is room",
+            w -> {
+              w.machines(2);
+              return w.job(Specs.array("job-1", 1, 1));
+            },
+            w -> {}));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> pictures() {
+    return Stream.of(
+        DynamicTest.dynamicTest(
+            "what runs has no reason, and a job says where its tasks are",
+            () -> {
+              World w = new World();
+              w.machines(2);
+              Job j = w.job(Specs.array("job-1", 3, 2));
+              w.run();
+              assertNull(w.why(j));
+              JobPicture p = w.sketch.job("job-1", w.now + 4_000);
+              assertEquals(3, p.tasks().size());
+              assertEquals("running", p.tasks().get(0).phase());
+              assertEquals("n-001", p.tasks().get(0).machine());
+              assertEquals("north", p.tasks().get(0).zone());
+              assertEquals("", p.job().reason());
+              assertNull(w.sketch.job("job-2", w.now).job());
+            }),
+        DynamicTest.dynamicTest(
+            "a job that ends between two steps is left out, and the others are explained",
+            () -> {
+              World w = new World();
+              w.machines(2);
+              for (int i = 1; i <= 5; i++) {
+                w.job(Specs.array("job-" + i, 1, 4).zone(1));
+              }
+              w.run();
+              w.sketch.begin(w.now);
+              assertEquals(false, w.sketch.step(1));
+              Job gone = w.ledger.job("job-4");
+              w.ledger.withdraw(gone, w.now);
+              w.ledger.ended(gone);
+              w.ledger.forget(gone);
+              while (!w.sketch.step(1)) {
+                assertTrue(w.sketch.jobs().size() < 5);
+              }
+              assertNull(w.explainer.finding(gone));
+              assertNotNull(w.explainer.finding(w.ledger.job("job-5")));
+            }));
+  }
+
+  /** A job whose tasks wait has a reason, and without the obstacle it starts or has another one. */
+  @Property(tries = 600, seed = "14")
+  void aWaitingTaskHasAReasonThatHoldsIt(
+      @ForAll @Size(max = 12) List<@IntRange(max = 199) Integer> machines,
+      @ForAll @Size(min = 1, max = 10) List<@IntRange(max = 99_999) Integer> jobs,
+      @ForAll @IntRange(max = 15) int site) {
+    World w = new World();
+    for (int m : machines) {
+      Machine made = w.machine(m % 2);
+      made.draining = m / 2 % 10 == 9;
+      if (m / 20 % 5 == 4) {
+        made.coolUntilMs = w.now + 60_000;
+      }
+    }
+    w.refusing = site % 2 == 1;
+    if (site / 2 % 4 == 3) {
+      w.coming.add(new Coming(new Variant(w.type, site / 8, false), 1, w.now));
+    }
+    List<Job> all = new ArrayList<>();
+    for (int i = 0; i < jobs.size(); i++) {
+      int x = jobs.get(i);
+      Specs s = Specs.array("job-" + i, 1 + x % 5, 1 + x / 5 % 4).team(x / 20 % 2);
+      s = s.priority(x / 40 % 4).zone(x / 160 % 3 - 1);
+      s = x / 480 % 4 == 1 ? s.gang() : s;
+      s = x / 1920 % 4 == 1 ? s.together() : x / 1920 % 4 == 2 ? s.scatter() : s;
+      all.add(w.job(s));
+      if (x / 7680 % 2 == 1) {
+        w.run();
+      }
+    }
+    if (site % 4 == 2) {
+      w.silent(9_000, w.in(0));
+    }
+    for (Job j : all) {
+      if (!j.waiting()) {
+        continue;
+      }
+      Finding f = w.why(j);
+      assertNotNull(f, "no reason for " + j.spec);
+      if (f.detail().startsWith("never: ")) {
+        continue; // Its own rules exclude each other, which nothing but its withdrawal ends.
+      }
+      without(w, j, f);
+      int live = j.liveCount();
+      w.placement.place(w.now);
+      Finding then = w.why(j);
+      assertTrue(
+          j.liveCount() > live || then == null || then.reason() != f.reason(),
+          f + " was taken away and is still " + then);
+    }
+  }
+
+  private static void without(World w, Job j, Finding f) {
+    switch (f.reason()) {
+      case TEAM_LIMIT ->
+          w.ledger
+              .teams()
+              .forEach(
+                  t -> {
+                    t.usedCpus = -1e6;
+                    t.usedCards = 0;
+                  });
+      case CLOUD_REFUSES -> w.refusing = false;
+      case MACHINES_SILENT, ZONE_CUT -> w.ledger.machines().forEach(w::report);
+      case ZONE_RULES -> {
+        for (int t = 0; t < j.spec.tasks(); t++) {
+          if (j.live(t) != null) {
+            w.ledger.resolve(j.live(t), Ledger.Outcome.LOST, w.now);
+          }
+        }
+      }
+      case STARTING -> {} // Nothing stands in the way.
+      default -> {
+        // Room that all jobs ahead of it together do not fill.
+        w.coming.clear();
+        w.refusing = false;
+        w.machines(120);
+      }
+    }
+  }
+}
--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -166,7 +166,7 @@
               Machine m = w.machine("n-1", 0);
               w.now += 7_000;
               assertEquals(
-                  Ledger.Refusal.MACHINE, w.ledger.mayStart(w.job("job-1", 1, 1), 0, m, w.now));
+                  Ledger.Refusal.SILENT, w.ledger.mayStart(w.job("job-1", 1, 1), 0, m, w.now));
             }),
         rule(
             "a gang starts with all its tasks or not at all",
@@ -419,7 +419,7 @@
                   true,
                   w.now);
               assertEquals(
-                  Ledger.Refusal.MACHINE, w.ledger.mayStart(w.job("job-3", 1, 1), 0, m, w.now));
+                  Ledger.Refusal.LEAVING, w.ledger.mayStart(w.job("job-3", 1, 1), 0, m, w.now));
               w.placement.drain(w.now);
               assertEquals(
                   List.of(
--- a/src/test/java/org/mallowroad/core/ScaleTest.java
+++ b/src/test/java/org/mallowroad/core/ScaleTest.java
@@ -2,14 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.mallowroad.core.WorkerReport.State.RUNNING;
 
 import java.util.BitSet;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.explain.Explainer;
+import org.mallowroad.core.explain.Sketch;
+import org.mallowroad.core.explain.Supply;
 import org.mallowroad.core.health.Silence;
 import org.mallowroad.state.Records;
+import org.mallowroad.wire.ConsoleCodec;
 import org.mallowroad.wire.Json;
 
 /**
@@ -56,6 +61,42 @@
       }
     }
 
+    Explainer explainer;
+
+    Sketch sketch() {
+      Names classes = new Names();
+      classes.intern("class");
+      Supply nothing =
+          new Supply() {
+            @Override
+            public List<Fleet.Coming> coming(long at) {
+              return List.of();
+            }
+
+            @Override
+            public long refusedSinceMs(Fleet.Variant v) {
+              return -1;
+            }
+
+            @Override
+            public List<MachineType> types() {
+              return List.of(type);
+            }
+
+            @Override
+            public boolean firm() {
+              return true;
+            }
+
+            @Override
+            public long renewedMs() {
+              return now;
+            }
+          };
+      explainer = new Explainer(ledger, placement, nothing, zones, classes);
+      return new Sketch(ledger, nothing, zones, explainer);
+    }
+
     void commit() {
       Specs.commit(ledger, now);
     }
@@ -195,6 +236,80 @@
             }));
   }
 
+  /** What a console's question costs the loop: counts of questions to the decision, and bytes. */
+  @TestFactory
+  Stream<DynamicTest> pictures() {
+    return Stream.of(
+        scale(
+            "nobody asks: nothing is explained; one asks: each machine once a job, in bounded turns",
+            w -> {
+              Sketch s = explained(w, 0.001);
+              assertEquals(0, w.explainer.asked());
+              s.begin(w.now);
+              int turns = 1;
+              long before = 0;
+              while (!s.step(10_000)) {
+                atMost(10_000 + MACHINES, w.explainer.asked() - before);
+                before = w.explainer.asked();
+                turns++;
+              }
+              atMost((MACHINES + 1) * 301L, w.explainer.asked());
+              atMost(31, turns);
+              assertEquals(301, s.jobs().size());
+              assertEquals(10_000, s.jobs().stream().mapToInt(j -> j.waiting()).sum());
+              // Two teams of one class that wait for the same thing are two lines.
+              assertEquals(2, s.reasons().size());
+              atMost(1_000_000, ConsoleCodec.bytes(s.jobs()).length);
+            }),
+        scale(
+            "jobs that the decision cannot tell apart are asked for once",
+            w -> {
+              Sketch s = explained(w, 0);
+              s.begin(w.now);
+              assertTrue(s.step(10_000));
+              atMost(2L * MACHINES + 301, w.explainer.asked());
+              assertEquals(301, s.jobs().size());
+            }),
+        scale(
+            "more jobs than a picture lists are counted and not explained",
+            w -> {
+              for (int j = 0; j < Sketch.MOST_JOBS + 50; j++) {
+                w.ledger.accept(Specs.array("job-" + j, 1, 99).build(), 5, 0, w.now);
+              }
+              Sketch s = w.sketch();
+              s.begin(w.now);
+              while (!s.step(1_000_000)) {
+                atMost(Sketch.MOST_JOBS, s.jobs().size());
+              }
+              assertEquals(Sketch.MOST_JOBS, s.jobs().size());
+              assertEquals(50, s.jobsLeftOut());
+            }));
+  }
+
+  /** For the measurement. */
+  static Sketch full(double differ) {
+    return explained(new World(MACHINES), differ);
+  }
+
+  /**
+   * The fleet is full, and 300 jobs of two teams wait with 10,000 tasks; each wants so many more
+   * CPUs than the one before.
+   */
+  private static Sketch explained(World w, double differ) {
+    w.ledger.accept(Specs.array("job-0", MACHINES * 8, 4).build(), 5, 0, w.now);
+    w.placement.place(w.now);
+    w.commit();
+    for (int j = 1; j <= 300; j++) {
+      int tasks = j <= 100 ? 34 : 33;
+      w.ledger.accept(
+          Specs.array("job-" + j, tasks, 4 + differ * j).team(j % 2).build(), 5, 0, w.now);
+    }
+    w.ledger
+        .machines()
+        .forEach(m -> w.ledger.report(m, Specs.report(m, 2, 1, RUNNING), true, w.now));
+    return w.sketch();
+  }
+
   /** A takeover of all jobs with all their attempts, as their records say. */
   @TestFactory
   Stream<DynamicTest> takeover() {
