--- a/src/main/java/org/mallowroad/cli/Top.java
+++ b/src/main/java/org/mallowroad/cli/Top.java
@@ -32,7 +32,7 @@
         "Shows queues, jobs, machines and nodes, and why anything waits; ? lists the keys.")
 final class Top extends Look {
   private static final String KEYS =
-      "q quit  1 queues  2 jobs  3 machines  4 nodes  s sort  / filter  n p page  j job";
+      "q quit  1 queues 2 jobs 3 machines 4 nodes  s sort  / filter  n p page  j job";
 
   @Option(names = "--once", description = "Print once and end.")
   private boolean once;
@@ -144,6 +144,9 @@
               p == null
                   ? List.of(job + ": no leader says anything of it (Esc goes back)")
                   : screen.job(p, o.source()));
+      int room = rows - 1;
+      page = Math.min(page, (lines.size() - 1) / room);
+      lines = new ArrayList<>(lines.subList(page * room, lines.size()));
     }
     while (lines.size() > rows - 1) {
       lines.remove(lines.size() - 1);
@@ -154,7 +157,13 @@
     lines.add(
         typing != null
             ? (typingFor == '/' ? "filter: " : "job: ") + typing + "_"
-            : KEYS + (filter.isEmpty() ? "" : "  [" + filter + "]"));
+            : filter.isEmpty() && sort == Sort.QUEUE
+                ? KEYS
+                : "by "
+                    + sort.name().toLowerCase(Locale.ROOT)
+                    + (filter.isEmpty() ? "" : ", with \"" + filter + "\" (/ and Enter: all)")
+                    + "  "
+                    + KEYS);
     List<AttributedString> out = new ArrayList<>();
     for (String l : lines) {
       out.add(new AttributedString(l.length() > columns - 1 ? l.substring(0, columns - 1) : l));
@@ -197,6 +206,7 @@
         page = 0;
       } else if (JobCodec.ID.matcher(typing).matches()) {
         job = typing;
+        page = 0;
       }
       typing = null;
     } else if (key == 27 || key == 3) {
--- a/src/main/java/org/mallowroad/console/view/Overview.java
+++ b/src/main/java/org/mallowroad/console/view/Overview.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.mallowroad.console.view.NodeView.Standing;
+import org.mallowroad.core.explain.Counted;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.explain.Picture.JobLine;
 import org.mallowroad.core.explain.Picture.ReasonLine;
@@ -190,8 +191,8 @@
     if (!late.isEmpty()) {
       JobLine j = late.get(0);
       out.add(
-          late.size()
-              + (late.size() == 1 ? " job is" : " jobs are")
+          Counted.of(late.size(), "job")
+              + (late.size() == 1 ? " is" : " are")
               + " past the deadline, "
               + j.id()
               + " of "
@@ -205,8 +206,8 @@
         continue;
       }
       out.add(
-          r.tasks()
-              + " tasks of "
+          Counted.of(r.tasks(), "task")
+              + " of "
               + r.team()
               + " ("
               + r.taskClass()
@@ -242,14 +243,14 @@
     List<JobLine> stalled = jobs.stream().filter(j -> j.zone().equals(z.name())).toList();
     StringBuilder b = new StringBuilder("Zone ").append(z.name());
     b.append(z.cut() ? " is cut off" : " is mostly silent").append(": ").append(z.silent());
-    b.append(" of ").append(z.machines()).append(" machines are not heard");
+    b.append(" of ").append(z.machines()).append(" machines not heard");
     if (!stalled.isEmpty()) {
       b.append("; stalled: ");
       for (int i = 0; i < Math.min(5, stalled.size()); i++) {
         b.append(i == 0 ? "" : ", ").append(stalled.get(i).id());
       }
       if (stalled.size() > 5) {
-        b.append(" and ").append(stalled.size() - 5).append(" more jobs");
+        b.append(" and ").append(Counted.of(stalled.size() - 5, "more job"));
       }
     }
     return b.append('.').toString();
--- a/src/main/java/org/mallowroad/console/view/Screen.java
+++ b/src/main/java/org/mallowroad/console/view/Screen.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import org.mallowroad.core.explain.Counted;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.explain.Picture.JobLine;
@@ -13,8 +14,8 @@
 
 /** Draws an overview as lines of text of a given width; without colour, and without I/O. */
 public final class Screen {
-  /** The least width that is drawn for. */
-  public static final int LEAST_WIDTH = 80;
+  /** The least width that is drawn for: a terminal of 80 columns keeps its last one free. */
+  public static final int LEAST_WIDTH = 79;
 
   /** What is shown. */
   public enum Page {
@@ -206,7 +207,7 @@
               why(j)));
     }
     if (o.jobsLeftOut() > 0) {
-      out.add(cut("and " + o.jobsLeftOut() + " more jobs"));
+      out.add(cut("and " + Counted.of(o.jobsLeftOut(), "more job")));
     }
     return out;
   }
@@ -359,7 +360,9 @@
                     : j.dueS() < 0
                         ? ", late by " + Ages.of(-j.dueS())
                         : ", due in " + Ages.of(j.dueS()))
-                + (j.failures() > 0 ? ", " + j.failures() + " failures in a row" : "")));
+                + (j.failures() > 0
+                    ? ", " + Counted.of(j.failures(), "failure") + " in a row"
+                    : "")));
     if (j.reason().isEmpty()) {
       out.add("nothing of it waits");
     } else {
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -139,9 +139,7 @@
             () -> {
               try {
                 server.start();
-                if (console != null) {
-                  console.start();
-                }
+                startConsole();
                 types();
                 election.start();
                 started.complete(null);
@@ -158,6 +156,20 @@
     LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
   }
 
+  /** A console that cannot listen keeps no controller from its work. */
+  private void startConsole() {
+    try {
+      if (console != null) {
+        console.start();
+      }
+    } catch (RuntimeException e) {
+      LOG.error(
+          "event=console_not_started listen={} reason=\"{}\"",
+          site.operator.console().get().listen(),
+          e.getMessage());
+    }
+  }
+
   /** On which everything of this node runs. */
   Loop loop() {
     return loop;
--- a/src/main/java/org/mallowroad/core/explain/Explainer.java
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -289,22 +289,26 @@
           c.oldestMs,
           -1,
           -1,
-          c.recording
-              + " starts, "
-              + ledger.dirty().size()
-              + " records wait for the state service");
+          Counted.of(c.recording, "start")
+              + ", "
+              + Counted.of(ledger.dirty().size(), "uncommitted record"));
     }
     if (c.pulling > 0) {
       return new Finding(
-          Reason.IMAGE, c.oldestMs, -1, -1, c.pulling + " tasks wait for their image");
+          Reason.IMAGE, c.oldestMs, -1, -1, Counted.of(c.pulling, "task") + " without an image");
     }
-    return new Finding(Reason.AWAITS_WORKER, c.oldestMs, -1, -1, c.ready + " launches");
+    return new Finding(
+        Reason.AWAITS_WORKER,
+        c.oldestMs,
+        -1,
+        -1,
+        c.ready + (c.ready == 1 ? " launch" : " launches"));
   }
 
   private String silence(Counts c) {
     Machine m = c.silentOn;
-    return c.silent
-        + " tasks on silent machines, one is "
+    return Counted.of(c.silent, "task")
+        + " on silent machines, one on "
         + m.name
         + " in zone "
         + zones.name(m.zone)
@@ -328,7 +332,7 @@
           job.waitingSinceMs(),
           job.notBeforeMs(),
           -1,
-          job.failures() + " failures in a row");
+          Counted.of(job.failures(), "failure") + " in a row");
     }
     Team team = ledger.team(s);
     if (placement.overLimit(job)) {
@@ -352,14 +356,17 @@
       return s.gang() ? gang(job) : aboutToStart(job);
     }
     return switch (t.most()) {
-      case ROOM -> unsupplied(job, Reason.NO_ROOM, t.of(Ledger.Refusal.ROOM) + " machines full");
+      case ROOM ->
+          unsupplied(
+              job, Reason.NO_ROOM, Counted.of(t.of(Ledger.Refusal.ROOM), "machine") + " full");
       case ZONE -> zoneRules(job);
       case SILENT -> silent(job, t);
-      case DOUBTED -> plain(job, Reason.SLOW_MACHINES, t.of(Ledger.Refusal.DOUBTED) + " machines");
+      case DOUBTED ->
+          plain(job, Reason.SLOW_MACHINES, Counted.of(t.of(Ledger.Refusal.DOUBTED), "machine"));
       case FAILED_HERE ->
-          plain(job, Reason.FAILED_THERE, t.of(Ledger.Refusal.FAILED_HERE) + " machines");
+          plain(job, Reason.FAILED_THERE, Counted.of(t.of(Ledger.Refusal.FAILED_HERE), "machine"));
       case QUOTA -> new Finding(Reason.TEAM_LIMIT, job.waitingSinceMs(), -1, -1, limit(team, s));
-      default -> plain(job, Reason.LEAVING, t.allowed + " machines");
+      default -> plain(job, Reason.LEAVING, Counted.of(t.allowed, "machine"));
     };
   }
 
@@ -413,14 +420,16 @@
           now - ledger.health().silence().cutForMs(zone, now),
           -1,
           zone,
-          t.silentIn[zone] + " machines of zone " + zones.name(zone) + " are not heard");
+          Counted.of(t.silentIn[zone], "silent machine") + " in zone " + zones.name(zone));
     }
     return new Finding(
         Reason.MACHINES_SILENT,
         job.waitingSinceMs(),
         -1,
         zone,
-        t.of(Ledger.Refusal.SILENT) + " machines, most in zone " + zones.name(zone));
+        Counted.of(t.of(Ledger.Refusal.SILENT), "silent machine")
+            + ", most in zone "
+            + zones.name(zone));
   }
 
   /**
@@ -443,7 +452,11 @@
           booting.rentedMs,
           booting.dueMs,
           -1,
-          detail + "; " + coming + " machines booting, the first a " + name(booting.variant));
+          detail
+              + "; "
+              + Counted.of(coming, "machine")
+              + " booting, the first a "
+              + name(booting.variant));
     }
     long refused = Long.MAX_VALUE;
     Variant refusedOne = null;
--- a/src/test/java/org/mallowroad/config/SettingsTest.java
+++ b/src/test/java/org/mallowroad/config/SettingsTest.java
@@ -95,6 +95,10 @@
         "<mallowroad><fleet booked-limit='x'/></mallowroad>|fleet/booked-limit",
         "<mallowroad><health slow-factor='0.5'/></mallowroad>|health/slow-factor",
         "<mallowroad><health still-s='none'/></mallowroad>|health/still-s",
+        "<mallowroad><console/></mallowroad>|console/listen",
+        "<mallowroad><console listen='7070'/></mallowroad>|console/listen",
+        "<mallowroad><console listen='h:7070' every-s='0'/></mallowroad>|console/every-s",
+        "<mallowroad><console listen='h:7070' history='-1'/></mallowroad>|console/history",
         "<other/>|other",
         "<mallowroad>|file",
       })
@@ -105,6 +109,15 @@
     assertTrue(e.getMessage().contains("o.xml: " + field), e.getMessage());
   }
 
+  /** It once held a comment that no XML reader takes, so that no controller started with it. */
+  @Test
+  void whatStandsUnderDeployIsTaken() throws Exception {
+    ConsoleSettings c = OperatorSettings.load("deploy/console.xml").console().orElseThrow();
+    assertEquals(7070, c.listen().port());
+    assertEquals(5_000, c.everyMs());
+    assertTrue(OperatorSettings.defaults().console().isEmpty());
+  }
+
   @Test
   void operatorSettingsReplaceDefaults() throws Exception {
     Path f = dir.resolve("o.xml");
