--- a/src/main/java/org/mallowroad/cli/Main.java
+++ b/src/main/java/org/mallowroad/cli/Main.java
@@ -79,6 +79,7 @@
           .addSubcommand(new Look.Why())
           .addSubcommand(new Look.Write())
           .addSubcommand(new Try())
+          .addSubcommand(new Cron())
           .addSubcommand(new Rehearse());
     }
     IExecutionStrategy others = new CommandLine.RunLast();
--- a/src/test/java/org/mallowroad/cli/LookTest.java
+++ b/src/test/java/org/mallowroad/cli/LookTest.java
@@ -36,6 +36,11 @@
       new Case(2, "cannot be written", "report", "--nodes", none, "--out", dir.toString()),
       new Case(3, "cannot be reached", "job", "--server", none, "job-1"),
       new Case(2, "not an address", "job", "--server", "a b", "job-1"),
+      new Case(0, "", "cron", "next", "@daily", "--zone", "Europe/London", "--count", "3"),
+      new Case(1, "never", "cron", "next", "0 0 30 2 *"),
+      new Case(2, "column 1: the minute", "cron", "next", "70 * * * *"),
+      new Case(2, "no such time zone", "cron", "next", "@daily", "--zone", "Mars/Olympus"),
+      new Case(2, "an instant like", "cron", "next", "@daily", "--after", "noon"),
       new Case(2, "--stall: west: north or south", "try", "--stall", "west"),
     };
     PrintStream before = System.err;
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -9,6 +9,7 @@
   private final int tasks;
   private final double cpus;
   private boolean gang;
+  private boolean service;
   private boolean together;
   private boolean scatter;
   private boolean spot;
@@ -33,6 +34,11 @@
     return this;
   }
 
+  public Specs service() {
+    service = true;
+    return this;
+  }
+
   public Specs together() {
     together = true;
     return this;
@@ -74,7 +80,7 @@
         id,
         0,
         team,
-        false,
+        service,
         gang,
         priority,
         tasks,
