--- /dev/null
+++ b/src/main/java/org/mallowroad/calendar/BadCalendar.java
@@ -0,0 +1,10 @@
+package org.mallowroad.calendar;
+
+/** A calendar file that is not one, or holds what is not supported; the text names it. */
+public final class BadCalendar extends Exception {
+  private static final long serialVersionUID = 1;
+
+  BadCalendar(String reason) {
+    super(reason, null, false, false);
+  }
+}
--- a/src/main/java/org/mallowroad/calendar/Catchup.java
+++ b/src/main/java/org/mallowroad/calendar/Catchup.java
@@ -2,19 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Optional;
 
 /**
- * Which firings are due, given up to when they were decided before. What is decided is decided for
- * ever: the watermark only rises, whatever the wall clock does.
+ * What becomes of firings that are late, since nobody was there to fire them.
  *
- * @param missed what becomes of those that are late, since nobody was there to fire them
  * @param onTime a firing later than this is a missed one; well above the time a takeover takes
  * @param window of {@link Missed#ALL}: older ones are dropped
- * @param most of {@link Missed#ALL}: the newest so many
+ * @param most of {@link Missed#ALL}: the newest so many, {@link #MOST} at the most
  */
 public record Catchup(Missed missed, Duration onTime, Duration window, int most) {
   /** What becomes of firings that were missed. */
@@ -27,60 +22,45 @@
     ALL
   }
 
-  /**
-   * Firings decided at a time: more are left for the next time, with the watermark between them.
-   */
-  public static final int MOST_AT_ONCE = 1_000;
+  /** Missed firings of one entry that may fire after an absence. */
+  public static final int MOST = 10_000;
 
-  /**
-   * A decision.
-   *
-   * @param fire instants to fire, oldest first
-   * @param watermark up to when firings are decided with it, this instant included
-   */
-  public record Due(List<Instant> fire, Instant watermark) {}
+  /** Checks the bound. */
+  public Catchup {
+    if (most < 0 || most > MOST || onTime.isNegative() || window.isNegative()) {
+      throw new IllegalArgumentException("0 to " + MOST + " missed firings, and no negative times");
+    }
+  }
+
+  /** True when a firing is late enough to be a missed one. */
+  boolean missed(Instant firing, Instant now) {
+    return firing.isBefore(now.minus(onTime));
+  }
 
   /**
-   * What is due. No more instants are looked at than may fire, however long nobody was there.
+   * The first of the missed firings from one on that fires after all; empty when none does. No more
+   * instants are looked at than may fire, however long the absence was.
    *
-   * @param watermark up to when firings were decided before
-   * @param now true time is this at the least, so that nothing fires before its time
+   * @param from a missed firing of the schedule
    */
-  public Due due(Schedule s, Instant watermark, Instant now) {
-    if (!now.isAfter(watermark)) {
-      return new Due(List.of(), watermark); // A clock set back fires nothing again.
-    }
+  Optional<Instant> first(Schedule s, Instant from, Instant now) {
     Instant late = now.minus(onTime);
-    List<Instant> fire =
-        late.isAfter(watermark) ? missed(s, watermark, late, now) : new ArrayList<>();
-    Optional<Instant> next = s.next(late.isAfter(watermark) ? late : watermark);
-    while (next.isPresent() && !next.get().isAfter(now) && fire.size() < MOST_AT_ONCE) {
-      fire.add(next.get());
-      next = s.next(next.get());
+    if (missed == Missed.NONE) {
+      return Optional.empty();
     }
-    if (next.isPresent() && !next.get().isAfter(now)) {
-      return new Due(fire, fire.get(fire.size() - 1));
+    Optional<Instant> p = s.previous(late);
+    if (missed == Missed.LATEST) {
+      return p;
     }
-    return new Due(fire, now);
-  }
-
-  /** Of those after the watermark and up to {@code late} the ones that the class lets fire. */
-  private List<Instant> missed(Schedule s, Instant watermark, Instant late, Instant now) {
-    int limit =
-        switch (missed) {
-          case NONE -> 0;
-          case LATEST -> 1;
-          case ALL -> Math.min(most, MOST_AT_ONCE - 1);
-        };
-    Instant from = missed == Missed.ALL ? now.minus(window) : watermark;
-    from = from.isBefore(watermark) ? watermark : from;
-    List<Instant> out = new ArrayList<>();
-    Optional<Instant> p = limit == 0 ? Optional.empty() : s.previous(late.plusNanos(1));
-    while (p.isPresent() && p.get().isAfter(from) && out.size() < limit) {
-      out.add(p.get());
+    Instant oldest = now.minus(window);
+    Optional<Instant> best = Optional.empty();
+    for (int i = 0; i < most; i++) {
+      if (p.isEmpty() || p.get().isBefore(from) || p.get().isBefore(oldest)) {
+        break;
+      }
+      best = p;
       p = s.previous(p.get());
     }
-    Collections.reverse(out);
-    return out;
+    return best;
   }
 }
--- a/src/main/java/org/mallowroad/calendar/OpenDays.java
+++ b/src/main/java/org/mallowroad/calendar/OpenDays.java
@@ -15,6 +15,7 @@
  * @param dates closed days
  * @param yearly days that are closed in each year
  * @param seasons closed from one day of the year to another, both closed, over the new year too
+ * @param closures closed by the events of files
  */
 public record OpenDays(
     String name,
@@ -22,7 +23,8 @@
     Set<DayOfWeek> weekly,
     Set<LocalDate> dates,
     Set<MonthDay> yearly,
-    List<Season> seasons) {
+    List<Season> seasons,
+    List<Closures> closures) {
 
   /** Of calendars that are built on one another; a longer chain is refused. */
   public static final int MOST_BASES = 16;
@@ -42,6 +44,7 @@
     dates = Set.copyOf(dates);
     yearly = Set.copyOf(yearly);
     seasons = List.copyOf(seasons);
+    closures = List.copyOf(closures);
     int depth = 0;
     for (OpenDays b = base; b != null; b = b.base) {
       if (++depth > MOST_BASES) {
@@ -52,7 +55,7 @@
 
   /** Open on every day. */
   public static OpenDays always() {
-    return new OpenDays("always", null, Set.of(), Set.of(), Set.of(), List.of());
+    return new OpenDays("always", null, Set.of(), Set.of(), Set.of(), List.of(), List.of());
   }
 
   /** True on days that are not closed. */
@@ -62,6 +65,7 @@
         && !dates.contains(day)
         && !yearly.contains(d)
         && seasons.stream().noneMatch(s -> s.has(d))
+        && closures.stream().noneMatch(c -> c.closed(day))
         && (base == null || base.open(day));
   }
 
@@ -71,6 +75,7 @@
         && dates.isEmpty()
         && yearly.isEmpty()
         && seasons.isEmpty()
+        && closures.isEmpty()
         && (base == null || base.alwaysOpen());
   }
 }
--- a/src/main/java/org/mallowroad/cli/Cron.java
+++ b/src/main/java/org/mallowroad/cli/Cron.java
@@ -1,5 +1,6 @@
 package org.mallowroad.cli;
 
+import java.nio.file.Path;
 import java.time.DateTimeException;
 import java.time.Instant;
 import java.time.ZoneId;
@@ -13,6 +14,9 @@
 import org.mallowroad.calendar.OpenDays;
 import org.mallowroad.calendar.Rules;
 import org.mallowroad.calendar.Schedule;
+import org.mallowroad.calendar.Table;
+import org.mallowroad.calendar.file.BadTable;
+import org.mallowroad.calendar.file.TableFile;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -21,11 +25,51 @@
 @Command(
     name = "cron",
     mixinStandardHelpOptions = true,
-    description = "Looks at cron expressions; nothing is handed over to a service yet.",
-    subcommands = {Cron.Next.class})
+    description = "Looks at cron expressions and tables; nothing is handed over to a service yet.",
+    subcommands = {Cron.Next.class, Cron.Check.class})
 final class Cron {
   private static final int MOST = 10_000;
 
+  /** Checks a table's file. */
+  @Command(
+      name = "check",
+      mixinStandardHelpOptions = true,
+      description = {
+        "Checks a table's file and prints when each entry fires next.",
+        "Exit codes: 0 good, 1 an entry never fires, 2 a wrong file."
+      })
+  static final class Check implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The table (XML).")
+    private Path file;
+
+    @Override
+    public Integer call() {
+      TableFile.Content c;
+      try {
+        c = TableFile.read(file);
+      } catch (BadTable e) {
+        System.err.println("mallowroad: " + e.getMessage());
+        return 2;
+      }
+      Instant now = Instant.now();
+      for (Table.Entry e : c.table().entries()) {
+        String at =
+            e.schedule()
+                .next(now)
+                .map(i -> local(c.zones().get(e.name())).format(i))
+                .orElse("never");
+        System.out.printf("%-24s %s%n", e.name(), at);
+      }
+      c.never()
+          .forEach(n -> System.err.println("mallowroad: " + file + ": " + n + ": never fires"));
+      return c.never().isEmpty() ? 0 : 1;
+    }
+  }
+
+  private static DateTimeFormatter local(ZoneId zone) {
+    return DateTimeFormatter.ofPattern("EEE yyyy-MM-dd HH:mm xxx", Locale.ROOT).withZone(zone);
+  }
+
   /** Prints the next firings. */
   @Command(
       name = "next",
@@ -97,8 +141,7 @@
     }
 
     private int print(Schedule s, ZoneId z, Instant after) {
-      DateTimeFormatter local =
-          DateTimeFormatter.ofPattern("EEE yyyy-MM-dd HH:mm xxx", Locale.ROOT).withZone(z);
+      DateTimeFormatter local = local(z);
       Optional<Instant> next = s.next(after);
       if (next.isEmpty()) {
         System.err.println(
--- a/src/main/java/org/mallowroad/console/ConsoleServer.java
+++ b/src/main/java/org/mallowroad/console/ConsoleServer.java
@@ -16,6 +16,7 @@
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.explain.Sight;
+import org.mallowroad.net.Budget;
 import org.mallowroad.net.Loop;
 import org.mallowroad.wire.ConsoleCodec;
 import org.mallowroad.wire.JobCodec;
@@ -39,6 +40,9 @@
 
   private static final int MOST_SOCKETS = 32;
 
+  /** Questions about single jobs, with a burst of two seconds' worth. */
+  private static final double JOBS_PER_S = 5;
+
   /** Requests that wait for the loop at a time; further ones get what there is. */
   private static final int MOST_WAITING = 64;
 
@@ -50,6 +54,7 @@
   private final Pulse pulse = new Pulse();
   private final List<Waiter> waiters = new ArrayList<>();
   private final Past past;
+  private final Budget jobs;
   private int jobsAsked;
   private Picture picture;
   private long pictureMs;
@@ -62,6 +67,7 @@
     this.past = new Past(settings.history());
     this.worker = Loop.worker("console");
     this.own = new Loop(worker.getIoThread());
+    this.jobs = new Budget(JOBS_PER_S, 2 * JOBS_PER_S, own.now());
     HttpHandler handler = this::handle;
     this.server =
         Undertow.builder()
@@ -208,6 +214,11 @@
       send(x, 503, ConsoleCodec.bytes(new Refusal("the loop does not answer")));
       return;
     }
+    // Each costs the loop a look at all machines, and a picture serves many where this serves one.
+    if (!jobs.take(1, own.now())) {
+      send(x, 429, ConsoleCodec.bytes(new Refusal("too many questions about single jobs")));
+      return;
+    }
     x.dispatch(
         own.thread(),
         () -> {
@@ -249,7 +260,7 @@
   private static void send(HttpServerExchange x, int status, byte[] body) {
     x.setStatusCode(status);
     x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-    if (status == 503) {
+    if (status == 503 || status == 429) {
       x.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
     }
     x.getResponseSender().send(ByteBuffer.wrap(body));
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -11,6 +11,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
@@ -331,7 +332,16 @@
 
     @Override
     public void job(String id, Consumer<JobPicture> done) {
-      loop.soon(() -> done.accept(sketcher.job(id)));
+      loop.soon(
+          () -> {
+            // Whoever asked is answered in any case: a console counts the questions that are out.
+            JobPicture p = new JobPicture(id, null, "", List.of(), 0);
+            try {
+              p = sketcher.job(id);
+            } finally {
+              done.accept(p);
+            }
+          });
     }
 
     @Override
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -25,9 +25,6 @@
 
   private static final int CRITICAL = 0;
 
-  /** For so long an urgent task or a gang waits for a machine that is not slow. */
-  static final long AVOID_MS = 10_000;
-
   /** A task that has been started more often is not stopped again, except for critical work. */
   private static final int MOST_TRIES = 3;
 
@@ -274,7 +271,7 @@
    */
   public Ledger.Refusal refusal(Job job, Machine m, long now) {
     Ledger.Refusal no = ledger.mayStart(job, job.pending.firstInt(), m, now);
-    if (no == null && avoids(job, m, now)) {
+    if (no == null && avoids(job.spec, m)) {
       return Ledger.Refusal.DOUBTED;
     }
     if (no == null
@@ -286,33 +283,14 @@
     return no;
   }
 
-  /** Which machines in doubt a job's tasks do not go to. */
-  public enum Care {
-    /** It goes anywhere. */
-    NONE,
-    /** Not to faulty ones. */
-    FAULTY,
-    /** Not to faulty ones, nor to slow ones. */
-    SLOW
+  /** Urgent tasks and gangs do not go to a machine that is slow or faulty: many wait for them. */
+  private static boolean avoids(JobSpec s, Machine m) {
+    return m.health.doubted() && (urgent(s) || s.gang());
   }
 
-  /**
-   * Urgent tasks and gangs do not go to a machine that is slow or faulty: many wait for them. But
-   * where no other has come after a while, slow is sooner than never.
-   */
-  public static Care care(Job job, long now) {
-    if (job.spec.priority() > URGENT && !job.spec.gang()) {
-      return Care.NONE;
-    }
-    return now - job.waitingSinceMs < AVOID_MS ? Care.SLOW : Care.FAULTY;
-  }
-
-  private static boolean avoids(Job job, Machine m, long now) {
-    return switch (m.health.doubt()) {
-      case NONE -> false;
-      case SLOW -> care(job, now) == Care.SLOW;
-      default -> care(job, now) != Care.NONE;
-    };
+  /** True for work that may not wait on a slow machine. */
+  public static boolean urgent(JobSpec s) {
+    return s.priority() <= URGENT;
   }
 
   /** Places all waiting tasks of a gang or none of them. */
@@ -401,7 +379,7 @@
           || !m.usable()
           || !s.allows(m.type.index(), m.zone, m.spot)
           || !m.type.fits(s)
-          || avoids(job, m, now)
+          || avoids(s, m)
           || (s.together() && job.liveCount > job.zoneLive[m.zone])
           || (s.scatter() && job.zoneLive[m.zone] >= s.zoneCap())) {
         continue;
@@ -464,15 +442,11 @@
 
   /**
    * Empties machines that the cloud is about to take: tasks that can save do so, and tasks that are
-   * not expected to finish in time are stopped so that they start again elsewhere at once. Machines
-   * that are emptied for another reason lose their replicas, which never end by themselves.
+   * not expected to finish in time are stopped so that they start again elsewhere at once.
    */
   public void drain(long now) {
     for (Machine m : ledger.machines()) {
       if (m.noticeMs == 0) {
-        if (m.draining) {
-          moveReplicas(m, now);
-        }
         continue;
       }
       double left = (m.noticeMs - now) / 1000.0;
@@ -492,48 +466,6 @@
     }
   }
 
-  /**
-   * One replica of a service at a time, none while another of it is not running, and only to room
-   * that is there: a slow replica is better than none.
-   */
-  private void moveReplicas(Machine m, long now) {
-    for (Attempt a : m.attempts) {
-      Job j = a.job;
-      if (j.spec.service()
-          && a.phase == Attempt.Phase.RUNNING
-          && !a.stopping()
-          && j.pending.isEmpty()
-          && j.runningCount == j.spec.tasks()
-          && noneStops(j)
-          && hasRoomElsewhere(a, now)) {
-        ledger.stop(a, j.spec.checkpointS() > 0 ? j.spec.saveS() : 0, now);
-      }
-    }
-  }
-
-  private boolean hasRoomElsewhere(Attempt a, long now) {
-    JobSpec s = a.job.spec;
-    for (Machine m : ledger.machines()) {
-      if (ledger.takesWork(m, now)
-          && s.allows(m.type.index(), m.zone, m.spot)
-          && m.free.fits(s)
-          && !m.health.doubted()
-          && (m.zone == a.machine.zone || !(s.together() || s.scatter()))) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private static boolean noneStops(Job j) {
-    for (Attempt a : j.live) {
-      if (a != null && a.stopping()) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private boolean stoppable(Attempt a, Job by, boolean guarantee) {
     if (a.phase == Attempt.Phase.RECORDING || a.phase == Attempt.Phase.READY) {
       return false;
--- a/src/main/java/org/mallowroad/core/explain/Explainer.java
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -576,7 +576,7 @@
   /** What the decision goes by in a job that has no tasks whose places or failures count. */
   private record Shape(
       int team,
-      Placement.Care care,
+      boolean careful,
       double cpus,
       double cards,
       double memGb,
@@ -595,7 +595,7 @@
     Shape shape =
         new Shape(
             s.team(),
-            Placement.care(job, now),
+            s.gang() || Placement.urgent(s),
             s.cpus(),
             s.cards(),
             s.memGb(),
--- a/src/test/java/org/mallowroad/controller/ConsoleTest.java
+++ b/src/test/java/org/mallowroad/controller/ConsoleTest.java
@@ -272,6 +272,26 @@
     }
   }
 
+  /** One who asks about jobs as fast as it can costs the loop no more than a few looks a second. */
+  @Test
+  void questionsAboutJobsAreLimited() throws Exception {
+    String at = "http://" + nodes.get(state.leader()).consoleAddress() + "/console/v1/";
+    Map<Integer, Integer> answers = new LinkedHashMap<>();
+    long began = System.nanoTime();
+    for (int i = 0; i < 60; i++) {
+      HttpResponse<String> r =
+          http.send(
+              HttpRequest.newBuilder(URI.create(at + "jobs/job-000001")).build(),
+              HttpResponse.BodyHandlers.ofString());
+      answers.merge(r.statusCode(), 1, Integer::sum);
+      assertEquals(r.statusCode() == 429, r.headers().firstValue("Retry-After").isPresent());
+    }
+    double seconds = (System.nanoTime() - began) / 1e9;
+    assertTrue(answers.getOrDefault(429, 0) > 0, answers.toString());
+    assertTrue(answers.getOrDefault(200, 0) <= 10 + 5 * seconds + 1, answers + " in " + seconds);
+    assertTrue(asker.look().nodes().stream().allMatch(n -> n.standing().fine()));
+  }
+
   @Test
   void whatIsNotKnownHereIsAnsweredAtOnce() throws Exception {
     String at = "http://" + nodes.get("n0").consoleAddress() + "/console/v1/";
