Garbage records and another build's reasons are a line, not an exception

Cause, found by rereading: a record key without its parts, figures that are none, a picture with missing texts or a reason that only a newer build has ended top, why and report with an exception.

Change: each is one line, with a row in AskerTest or a test in ScreenTest; texts of a picture's lines must be there. Two methods that nothing called are gone; top's help said that ? lists the keys, which always stand in its last line.

--- a/src/main/java/org/mallowroad/calendar/Closures.java
+++ b/src/main/java/org/mallowroad/calendar/Closures.java
@@ -197,9 +197,4 @@
     }
     return out;
   }
-
-  /** For messages: how many events it has. */
-  public int size() {
-    return events.size();
-  }
 }
--- a/src/main/java/org/mallowroad/cli/Look.java
+++ b/src/main/java/org/mallowroad/cli/Look.java
@@ -13,7 +13,6 @@
 import org.mallowroad.console.view.Screen;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture.JobLine;
-import org.mallowroad.core.explain.Reason;
 import org.mallowroad.wire.ConsoleCodec;
 import org.mallowroad.wire.JobCodec;
 import picocli.CommandLine.Command;
@@ -71,7 +70,7 @@
       JobLine line = o.jobs().stream().filter(j -> j.id().equals(id)).findFirst().orElse(null);
       JobPicture p = o.obstacle().isEmpty() ? asker.job(id) : null;
       if (p == null && line != null) {
-        String remedy = line.reason().isEmpty() ? "" : Reason.valueOf(line.reason()).remedy();
+        String remedy = line.reason().isEmpty() ? "" : Overview.remedy(line.reason());
         p = new JobPicture(id, line, remedy, List.of(), 0);
       }
       if (p == null) {
--- a/src/main/java/org/mallowroad/cli/Top.java
+++ b/src/main/java/org/mallowroad/cli/Top.java
@@ -29,7 +29,7 @@
     name = "top",
     mixinStandardHelpOptions = true,
     description =
-        "Shows queues, jobs, machines and nodes, and why anything waits; ? lists the keys.")
+        "Shows queues, jobs, machines and nodes, and why anything waits; its last line has the keys.")
 final class Top extends Look {
   private static final String KEYS =
       "q quit  1 queues 2 jobs 3 machines 4 nodes  s sort  / filter  n p page  j job";
--- a/src/main/java/org/mallowroad/console/ask/RecordReader.java
+++ b/src/main/java/org/mallowroad/console/ask/RecordReader.java
@@ -58,6 +58,9 @@
       return new Look().read();
     } catch (BadMessage e) {
       return Recorded.none(address, e.getMessage());
+    } catch (RuntimeException e) {
+      // A record that nobody of ours wrote: a key without its parts, figures that are none.
+      return Recorded.none(address, "answers with something else than records");
     }
   }
 
--- a/src/main/java/org/mallowroad/console/view/Overview.java
+++ b/src/main/java/org/mallowroad/console/view/Overview.java
@@ -1,9 +1,11 @@
 package org.mallowroad.console.view;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import org.mallowroad.console.view.NodeView.Standing;
 import org.mallowroad.core.explain.Counted;
 import org.mallowroad.core.explain.Picture;
@@ -216,7 +218,7 @@
               + ", "
               + r.detail()
               + ". Ends when "
-              + Reason.valueOf(r.reason()).remedy()
+              + remedy(r.reason())
               + ".");
     }
     for (NodeView n : nodes) {
@@ -256,14 +258,20 @@
     return b.append('.').toString();
   }
 
-  /** A reason in words; of a newer build's reasons the name. */
+  /** A reason in words; of a newer build's reasons, which this one does not have, the name. */
   public static String text(String reason) {
-    for (Reason r : Reason.values()) {
-      if (r.name().equals(reason)) {
-        return r.text();
-      }
-    }
-    return reason.toLowerCase(Locale.ROOT).replace('_', ' ');
+    return known(reason)
+        .map(Reason::text)
+        .orElseGet(() -> reason.toLowerCase(Locale.ROOT).replace('_', ' '));
+  }
+
+  /** What would let the tasks go on; of a newer build's reasons that build knows. */
+  public static String remedy(String reason) {
+    return known(reason).map(Reason::remedy).orElse("its node says so: it is of another build");
+  }
+
+  private static Optional<Reason> known(String reason) {
+    return Arrays.stream(Reason.values()).filter(r -> r.name().equals(reason)).findFirst();
   }
 
   private static String capital(String s) {
--- a/src/main/java/org/mallowroad/core/explain/Picture.java
+++ b/src/main/java/org/mallowroad/core/explain/Picture.java
@@ -1,6 +1,7 @@
 package org.mallowroad.core.explain;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * What a node knew at one moment: immutable, with all names in words, so that any thread may keep
@@ -78,7 +79,12 @@
       double guaranteeCpus,
       double limitCpus,
       int waiting,
-      int running) {}
+      int running) {
+    /** Has no text that is not there. */
+    public TeamLine {
+      Objects.requireNonNull(name);
+    }
+  }
 
   /**
    * An open job.
@@ -112,10 +118,25 @@
       double sinceS,
       double inS,
       String zone,
-      String detail) {}
+      String detail) {
+    /** Has no text that is not there. */
+    public JobLine {
+      Objects.requireNonNull(id);
+      Objects.requireNonNull(team);
+      Objects.requireNonNull(taskClass);
+      Objects.requireNonNull(reason);
+      Objects.requireNonNull(zone);
+      Objects.requireNonNull(detail);
+    }
+  }
 
   /** A zone: how many of its machines are not heard, and whether it is held to be cut off. */
-  public record ZoneLine(String name, int machines, int silent, boolean cut, double cutForS) {}
+  public record ZoneLine(String name, int machines, int silent, boolean cut, double cutForS) {
+    /** Has no text that is not there. */
+    public ZoneLine {
+      Objects.requireNonNull(name);
+    }
+  }
 
   /** Machines of one zone, type and kind. */
   public record MachineLine(
@@ -131,7 +152,13 @@
       double cpus,
       double bookedCpus,
       double moneyPerHour,
-      double refusedForS) {}
+      double refusedForS) {
+    /** Has no text that is not there. */
+    public MachineLine {
+      Objects.requireNonNull(zone);
+      Objects.requireNonNull(type);
+    }
+  }
 
   /** Waiting tasks alike in team, class and reason. */
   public record ReasonLine(
@@ -142,5 +169,14 @@
       int tasks,
       double longestS,
       String exampleJob,
-      String detail) {}
+      String detail) {
+    /** Has no text that is not there. */
+    public ReasonLine {
+      Objects.requireNonNull(team);
+      Objects.requireNonNull(taskClass);
+      Objects.requireNonNull(reason);
+      Objects.requireNonNull(exampleJob);
+      Objects.requireNonNull(detail);
+    }
+  }
 }
--- a/src/main/java/org/mallowroad/core/health/Silence.java
+++ b/src/main/java/org/mallowroad/core/health/Silence.java
@@ -132,11 +132,6 @@
     return cut[zone] ? now - sinceMs[zone] : 0;
   }
 
-  /** Machines of a zone whose reports are overdue, as of the newest judgement. */
-  public int late(int zone) {
-    return late[zone];
-  }
-
   /** Zones that are held to be cut off. */
   public int cuts() {
     int n = 0;
--- a/src/main/java/org/mallowroad/wire/ConsoleCodec.java
+++ b/src/main/java/org/mallowroad/wire/ConsoleCodec.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.explain.Sample;
@@ -52,6 +54,11 @@
             || p.reasons() == null)) {
       throw new BadMessage("a picture of form " + p.format() + ", not " + Picture.FORMAT);
     }
+    if (p != null
+        && Stream.of(p.teams(), p.jobs(), p.zones(), p.machines(), p.reasons())
+            .anyMatch(l -> l.stream().anyMatch(Objects::isNull))) {
+      throw new BadMessage("not a console's answer");
+    }
     return s;
   }
 
--- a/src/test/java/org/mallowroad/console/ask/AskerTest.java
+++ b/src/test/java/org/mallowroad/console/ask/AskerTest.java
@@ -43,6 +43,21 @@
             new Case(200, "<html>", Standing.STRANGE, "not a console's answer"),
             new Case(200, "null", Standing.STRANGE, "not a console's answer"),
             new Case(200, "{}", Standing.STRANGE, "not a console's answer"),
+            new Case(
+                200,
+                "{\"format\":1,\"node\":\"n\",\"stack\":[],\"picture\":{\"format\":1,\"phase\":\"LEADING\",\"totals\":{},\"teams\":[],\"jobs\":[null],\"zones\":[],\"machines\":[],\"reasons\":[]}}",
+                Standing.STRANGE,
+                "not a console's answer"),
+            new Case(
+                200,
+                "{\"format\":1,\"node\":\"n\",\"stack\":[],\"picture\":{\"format\":1,\"phase\":\"LEADING\",\"totals\":{},\"teams\":[],\"jobs\":[{}],\"zones\":[],\"machines\":[],\"reasons\":[]}}",
+                Standing.STRANGE,
+                "not a console's answer"),
+            new Case(
+                200,
+                "{\"format\":1,\"node\":\"n\",\"stack\":[],\"picture\":{\"format\":1,\"phase\":\"LEADING\",\"totals\":{},\"teams\":[],\"jobs\":[{\"id\":\"job-1\"}],\"zones\":[],\"machines\":[],\"reasons\":[]}}",
+                Standing.STRANGE,
+                "not a console's answer"),
             new Case(
                 200,
                 "{\"format\":9,\"node\":\"n\",\"stack\":[],\"picture\":{\"format\":9}}",
@@ -101,6 +116,16 @@
       {"200", "<?", "answers something that is not JSON"},
       {"500", "{}", "answers 500"},
       {"200", "{\"pairs\":[{\"key\":\"else\"}]}", "answers with something else than records"},
+      {
+        "200",
+        "{\"pairs\":[{\"key\":\"run/x\",\"v\":{}}]}",
+        "answers with something else than records"
+      },
+      {
+        "200",
+        "{\"pairs\":[{\"key\":\"open/job-1\",\"v\":{\"done\":\"zz\"}}]}",
+        "answers with something else than records"
+      },
     };
     for (String[] row : table) {
       HttpServer s = answering(Integer.parseInt(row[0]), row[1]);
--- a/src/test/java/org/mallowroad/console/view/ScreenTest.java
+++ b/src/test/java/org/mallowroad/console/view/ScreenTest.java
@@ -175,6 +175,37 @@
     assertTrue(first.get(4).startsWith("Node 127.0.0.1:2 is refusing"), first.toString());
   }
 
+  /** A node of a newer build may have reasons that this one does not know. */
+  @Test
+  void aReasonOfAnotherBuildIsShownByItsName() throws Exception {
+    JobLine l = job(1, "a", Reason.TEAM_LIMIT, 5, 0);
+    JobLine newer =
+        new JobLine(
+            l.id(),
+            l.team(),
+            l.taskClass(),
+            2,
+            6,
+            0,
+            1,
+            0,
+            5,
+            0,
+            100,
+            false,
+            0,
+            false,
+            0,
+            "MOON_PHASE",
+            10,
+            -1,
+            "",
+            "evidence");
+    Overview o = overview(List.of(newer));
+    assertTrue(o.first().toString().contains("moon phase"), o.first().toString());
+    assertTrue(Report.page(o, List.of()).contains("moon phase"));
+  }
+
   @Test
   void ages() {
     Object[][] table = {
