--- a/src/main/java/org/mallowroad/api/Door.java
+++ b/src/main/java/org/mallowroad/api/Door.java
@@ -1,26 +1,19 @@
 package org.mallowroad.api;
 
-import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Methods;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.mallowroad.worker.ReportApi;
+import org.mallowroad.net.Incoming;
 
-/** Routes requests; all answers are given on the one loop. */
-public final class Door implements HttpHandler {
+/** Routes what users, workers and probes ask; all answers are given on the one loop. */
+public final class Door {
   private static final String JOBS = "/v1/jobs";
-
-  /** The largest body that is read. */
-  public static final int MOST_BODY = Intake.MOST_BODY;
+  private static final String TEXT = "text/plain; charset=utf-8";
 
   private final Users users;
-  private final ReportApi workers;
+  private final Consumer<Incoming> reports;
   private final Supplier<Boolean> healthy;
   private final Supplier<String> metrics;
-  private final Intake reports;
-  private final Intake submissions;
 
   /** Serves what users ask, here or through a peer. */
   @FunctionalInterface
@@ -29,45 +22,35 @@
     void serve(String method, String path, byte[] body, Answerer answerer);
   }
 
-  /**
-   * Over the parties' handlers; the bodies in hand of users, and those of workers, take {@code
-   * mostBytes} together.
-   */
+  /** Over the parties' handlers. */
   public Door(
       Users users,
-      ReportApi workers,
+      Consumer<Incoming> reports,
       Supplier<Boolean> healthy,
-      Supplier<String> metrics,
-      long mostBytes) {
-    this.reports = new Intake(mostBytes);
-    this.submissions = new Intake(mostBytes);
+      Supplier<String> metrics) {
     this.users = users;
-    this.workers = workers;
+    this.reports = reports;
     this.healthy = healthy;
     this.metrics = metrics;
   }
 
-  @Override
-  public void handleRequest(HttpServerExchange x) {
-    String path = x.getRequestPath();
+  /** Serves one request. */
+  public void request(Incoming x) {
+    String path = x.path();
     if (path.equals("/v1/report")) {
       if (allowed(x, true)) {
-        reports.read(x, workers::report);
+        reports.accept(x);
       }
     } else if (path.equals(JOBS)) {
       if (allowed(x, true)) {
-        submissions.read(x, this::serve);
+        serve(x);
       }
     } else if (path.startsWith(JOBS + "/")) {
       String rest = path.substring(JOBS.length() + 1);
       int slash = rest.indexOf('/');
-      if (slash < 0) {
-        if (allowed(x, false)) {
-          Intake.async(x, () -> serve(x, new byte[0]));
-        }
-      } else if (rest.substring(slash).equals("/withdraw")) {
-        if (allowed(x, true)) {
-          submissions.read(x, this::serve);
+      if (slash < 0 || rest.substring(slash).equals("/withdraw")) {
+        if (allowed(x, slash >= 0)) {
+          serve(x);
         }
       } else {
         Reply.error(x, 404, "no such path");
@@ -75,32 +58,30 @@
     } else if (path.equals("/healthz")) {
       if (allowed(x, false)) {
         if (healthy.get()) {
-          x.setStatusCode(200);
-          x.getResponseSender().send("ok\n");
+          text(x, "ok\n");
         } else {
           Reply.later(x, "not ready");
         }
       }
     } else if (path.equals("/metrics")) {
       if (allowed(x, false)) {
-        x.getResponseSender().send(ByteBuffer.wrap(metrics.get().getBytes(StandardCharsets.UTF_8)));
+        text(x, metrics.get());
       }
     } else {
       Reply.error(x, 404, "no such path");
     }
   }
 
-  /** Bytes of the bodies in hand, by what was announced. */
-  public long bytes() {
-    return reports.bytes() + submissions.bytes();
+  private static void text(Incoming x, String text) {
+    x.answer(200, TEXT, text.getBytes(StandardCharsets.UTF_8), false);
   }
 
-  private void serve(HttpServerExchange x, byte[] body) {
-    users.serve(x.getRequestMethod().toString(), x.getRequestPath(), body, Reply.over(x));
+  private void serve(Incoming x) {
+    users.serve(x.method(), x.path(), x.body(), Reply.over(x));
   }
 
-  private static boolean allowed(HttpServerExchange x, boolean post) {
-    if (x.getRequestMethod().equals(post ? Methods.POST : Methods.GET)) {
+  private static boolean allowed(Incoming x, boolean post) {
+    if (x.method().equals(post ? "POST" : "GET")) {
       return true;
     }
     Reply.error(x, 405, "method not allowed");
--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -104,7 +104,7 @@
     try {
       o = Json.parseObject(body);
       spec = jobs.check(o);
-      value = Records.openValue(o, System.currentTimeMillis());
+      value = Records.openValue(o, loop.wallMs());
       if (Json.bytes(value).length > valueKb * 1024 - 64) {
         throw new BadMessage("the submission is too large");
       }
--- a/src/main/java/org/mallowroad/cli/Try.java
+++ b/src/main/java/org/mallowroad/cli/Try.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.mallowroad.config.ConsoleSettings;
@@ -153,9 +152,6 @@
     OperatorSettings d = OperatorSettings.defaults();
     Endpoint listen = new Endpoint("127.0.0.1", consolePort == 0 ? 0 : consolePort + i);
     ConsoleSettings console = new ConsoleSettings(listen, 2_000, 1_000, 240);
-    return new Node(
-        new Site(
-            site.node(i, CONTROLLERS),
-            new OperatorSettings(d.fleet(), d.health(), Optional.of(console))));
+    return new Node(new Site(site.node(i, CONTROLLERS), d.with(console)));
   }
 }
--- a/src/main/java/org/mallowroad/cloud/CloudApi.java
+++ b/src/main/java/org/mallowroad/cloud/CloudApi.java
@@ -3,13 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.util.Methods;
 import java.util.ArrayList;
 import java.util.List;
 import org.mallowroad.core.MachineType;
 import org.mallowroad.core.Names;
 import org.mallowroad.net.Budget;
-import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Caller;
 import org.mallowroad.net.Loop;
 import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
@@ -23,9 +22,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(CloudApi.class);
   private static final long TIMEOUT_MS = 5_000;
 
+  /** Where the types are listed: the cheapest question there is. */
+  public static final String TYPES = "/machine_types";
+
   private final Loop loop;
   private final Seldom garbled = Seldom.usual();
-  private final HttpCaller caller;
+  private final Caller caller;
   private final Budget budget;
   private final Names typeNames;
   private final Names zoneNames;
@@ -57,7 +59,7 @@
   }
 
   /** Over a caller, within a budget. */
-  public CloudApi(Loop loop, HttpCaller caller, Budget budget, Names types, Names zones) {
+  public CloudApi(Loop loop, Caller caller, Budget budget, Names types, Names zones) {
     this.loop = loop;
     this.caller = caller;
     this.budget = budget;
@@ -77,8 +79,8 @@
       return;
     }
     caller.call(
-        Methods.GET,
-        "/machine_types",
+        "GET",
+        TYPES,
         null,
         TIMEOUT_MS,
         new Parsed() {
@@ -127,7 +129,7 @@
       return;
     }
     caller.call(
-        Methods.GET,
+        "GET",
         "/machines?limit=500" + (from == null ? "" : "&from=" + from),
         null,
         TIMEOUT_MS,
@@ -176,7 +178,7 @@
     o.put(Fields.SPOT, spot);
     o.put(Fields.COUNT, count);
     caller.call(
-        Methods.POST,
+        "POST",
         "/machines",
         Json.bytes(o),
         2 * TIMEOUT_MS,
@@ -216,7 +218,7 @@
     ArrayNode list = o.putArray(Fields.MACHINES);
     names.forEach(list::add);
     caller.call(
-        Methods.POST,
+        "POST",
         "/machines/delete",
         Json.bytes(o),
         2 * TIMEOUT_MS,
@@ -233,7 +235,7 @@
         });
   }
 
-  private abstract class Parsed implements HttpCaller.Answer {
+  private abstract class Parsed implements Caller.Answer {
     abstract void ok(int status, ObjectNode o) throws BadMessage;
 
     abstract void none();
--- a/src/main/java/org/mallowroad/config/OperatorSettings.java
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -8,20 +8,35 @@
 import javax.xml.parsers.ParserConfigurationException;
 import org.mallowroad.core.FleetPolicy;
 import org.mallowroad.core.health.HealthPolicy;
+import org.mallowroad.core.links.LinkPolicy;
 import org.w3c.dom.Element;
 import org.xml.sax.SAXException;
 
 /**
  * The operators' own settings (XML): the design's thresholds, triggers, cycle and step, and the
  * thresholds by which machines, zones and the controller itself are suspected, and the console's
- * listener, which is off when it is not named.
+ * listener and the ways round cuts, each of which is off when it is not named.
  */
 public record OperatorSettings(
-    FleetPolicy fleet, HealthPolicy health, Optional<ConsoleSettings> console) {
+    FleetPolicy fleet,
+    HealthPolicy health,
+    Optional<ConsoleSettings> console,
+    Optional<LinkPolicy> links) {
 
   /** What holds without a file. */
   public static OperatorSettings defaults() {
-    return new OperatorSettings(FleetPolicy.defaults(), HealthPolicy.defaults(), Optional.empty());
+    return new OperatorSettings(
+        FleetPolicy.defaults(), HealthPolicy.defaults(), Optional.empty(), Optional.empty());
+  }
+
+  /** The same with a console. */
+  public OperatorSettings with(ConsoleSettings c) {
+    return new OperatorSettings(fleet, health, Optional.of(c), links);
+  }
+
+  /** The same with ways round cuts. */
+  public OperatorSettings with(LinkPolicy l) {
+    return new OperatorSettings(fleet, health, console, Optional.of(l));
   }
 
   /**
@@ -43,7 +58,8 @@
     if (!root.getTagName().equals("mallowroad")) {
       throw new BadSettings(file, root.getTagName(), "the root element is mallowroad");
     }
-    return new OperatorSettings(fleet(file, root), health(file, root), console(file, root));
+    return new OperatorSettings(
+        fleet(file, root), health(file, root), console(file, root), links(file, root));
   }
 
   private static FleetPolicy fleet(String file, Element root) throws BadSettings {
@@ -97,6 +113,31 @@
             (int) number(file, e, "history", 240, 0, 2_000)));
   }
 
+  private static Optional<LinkPolicy> links(String file, Element root) throws BadSettings {
+    if (!(root.getElementsByTagName("links").item(0) instanceof Element e)) {
+      return Optional.empty();
+    }
+    LinkPolicy d = LinkPolicy.defaults();
+    LinkPolicy p =
+        new LinkPolicy(
+            ms(file, e, "row-s", d.rowMs(), 0.2, 60),
+            ms(file, e, "fresh-s", d.freshMs(), 0.5, 300),
+            (long) number(file, e, "hedge-ms", d.hedgeMs(), 20, 5_000),
+            ms(file, e, "steady-s", d.steadyMs(), 0.1, 60),
+            ms(file, e, "hold-s", d.holdMs(), 1, 600),
+            ms(file, e, "canary-s", d.canaryMs(), 1, 600));
+    if (p.freshMs() < 2 * p.rowMs()) {
+      throw new BadSettings(file, "links/fresh-s", "at least twice row-s is needed");
+    }
+    return Optional.of(p);
+  }
+
+  private static long ms(
+      String file, Element e, String name, long otherwise, double min, double max)
+      throws BadSettings {
+    return (long) (number(file, e, name, otherwise / 1000.0, min, max) * 1000);
+  }
+
   private static double number(
       String file, Element e, String name, double otherwise, double min, double max)
       throws BadSettings {
--- a/src/main/java/org/mallowroad/console/ConsoleServer.java
+++ b/src/main/java/org/mallowroad/console/ConsoleServer.java
@@ -18,6 +18,7 @@
 import org.mallowroad.core.explain.Sight;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.XnioLoop;
 import org.mallowroad.wire.ConsoleCodec;
 import org.mallowroad.wire.JobCodec;
 import org.slf4j.Logger;
@@ -49,7 +50,7 @@
   private final ConsoleSettings settings;
   private final Subject subject;
   private final XnioWorker worker;
-  private final Loop own;
+  private final XnioLoop own;
   private final Undertow server;
   private final Pulse pulse = new Pulse();
   private final List<Waiter> waiters = new ArrayList<>();
@@ -65,8 +66,8 @@
     this.settings = settings;
     this.subject = subject;
     this.past = new Past(settings.history());
-    this.worker = Loop.worker("console");
-    this.own = new Loop(worker.getIoThread());
+    this.worker = XnioLoop.worker("console");
+    this.own = new XnioLoop(worker.getIoThread());
     this.jobs = new Budget(JOBS_PER_S, 2 * JOBS_PER_S, own.now());
     HttpHandler handler = this::handle;
     this.server =
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -463,7 +463,7 @@
         LOG.error("event=team_unknown job={}", spec.id());
         return;
       }
-      ledger.accept(spec, i.mark(), System.currentTimeMillis() - spec.submittedMs(), loop.now());
+      ledger.accept(spec, i.mark(), loop.wallMs() - spec.submittedMs(), loop.now());
     } catch (BadMessage e) {
       LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
     }
@@ -568,7 +568,7 @@
       return;
     }
     placing = true;
-    long sinceMs = (System.nanoTime() - passEndedNs) / 1_000_000;
+    long sinceMs = (loop.nanos() - passEndedNs) / 1_000_000;
     long wait = Math.max(PASS_MS, 2 * passNs / 1_000_000) - sinceMs;
     if (wait <= 0) {
       loop.soon(this::pass);
@@ -582,9 +582,9 @@
     if (stopped) {
       return;
     }
-    long began = System.nanoTime();
+    long began = loop.nanos();
     placeNow();
-    passEndedNs = System.nanoTime();
+    passEndedNs = loop.nanos();
     passNs = passEndedNs - began;
     load.passes++;
     load.passNs += passNs;
@@ -625,6 +625,7 @@
       load.direct++;
       workers.send(
           m.address,
+          m.via,
           WorkerCodec.direct(term, m.session, orders),
           (result, report) -> {
             if (stopped || ledger.machine(m.name) != m) {
@@ -669,8 +670,12 @@
     return ledger.meet(r.machine(), type, zone, r.spot(), loop.now());
   }
 
-  /** Answers a report: null in place of orders means that this node must not answer for now. */
-  void report(WorkerReport r, Consumer<ObjectNode> reply) {
+  /**
+   * Answers a report: null in place of orders means that this node must not answer for now.
+   *
+   * @param via the peer that brought it, or -1
+   */
+  void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
     watchman.turn(loop.now());
     heard = true;
     heardMs = loop.now();
@@ -689,6 +694,7 @@
       return;
     }
     load.reports++;
+    watchman.came(m.zone, via < 0, loop.now());
     fleet.reported(m);
     List<Order> orders = ledger.report(m, r, firm(), loop.now());
     m.answeredMs = loop.now();
@@ -696,6 +702,7 @@
       reply.accept(WorkerCodec.orders(term, List.of()));
       return;
     }
+    m.via = via;
     watchman.reported(m, loop.now());
     advance();
     if (!firm() || !ledger.mayGetWork(m, loop.now()) || !placement.anyWaiting()) {
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -0,0 +1,340 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.Consumer;
+import org.mallowroad.cloud.CloudApi;
+import org.mallowroad.config.Settings;
+import org.mallowroad.config.Settings.Member;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.links.Carriage;
+import org.mallowroad.core.links.LinkPolicy;
+import org.mallowroad.core.links.Links;
+import org.mallowroad.core.links.Outside;
+import org.mallowroad.core.links.Route;
+import org.mallowroad.core.links.Row;
+import org.mallowroad.election.Election;
+import org.mallowroad.net.Caller;
+import org.mallowroad.net.Host;
+import org.mallowroad.net.Incoming;
+import org.mallowroad.net.Loop;
+import org.mallowroad.net.Seldom;
+import org.mallowroad.peer.Detour;
+import org.mallowroad.peer.Forwarding;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.Json;
+import org.mallowroad.wire.WorkerCodec;
+import org.mallowroad.worker.ReportApi;
+import org.mallowroad.worker.WorkerClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a node does about its links: tells its row, tries ways that nothing else uses, and carries
+ * what others cannot deliver themselves. The decisions are those of {@code core.links}.
+ *
+ * <p><b>Why a carried report breaks no rule.</b> The worker counts its lease from when it
+ * <i>sent</i> the report, and drops an answer after 4 s; the leader counts from when it
+ * <i>answered</i> ({@code Machine.answeredMs}), which is later, by whichever way the report came.
+ * So the proof by lease in {@code Ledger} holds as it stands. The answer carries the token of the
+ * leader that gave it: a deposed one's is dropped by every worker that has seen a later one, and
+ * one that has not may stay with it exactly as if it reached it directly, until the leader is deaf
+ * ({@code Leader}), or this node hears of the later term (rows, announcements, other workers'
+ * tokens) and carries nothing there any more. A node adds nothing to an answer and remembers none.
+ * Orders by way of a peer without an answer are {@code UNKNOWN}, held uncleared and fenced as any.
+ */
+final class LinkDuties {
+  private static final Logger LOG = LoggerFactory.getLogger(LinkDuties.class);
+  private static final long BEAT_MS = 250;
+  private static final long PROBE_TIMEOUT_MS = 1_000;
+
+  /** A link that nothing used for so long is tried. */
+  private static final long IDLE_MS = 1_500;
+
+  /** After a start on a fraction of a core other things come first. */
+  private static final long FIRST_ROW_MS = 2_000;
+
+  /** Reports that are being carried at once; more are turned away. */
+  private static final int MOST_CARRYING = 192;
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Site site;
+  private final LinkPolicy policy;
+  private final Links links;
+  private final Route state;
+  private final Route cloud;
+  private final Carriage carriage;
+  private final Forwarding forwarding;
+  private final Caller stateDirect;
+  private final Caller cloudDirect;
+  private final Seldom lines = new Seldom(20, 10_000);
+  private Election election;
+  private Office office;
+  private int carrying;
+  private boolean probing;
+
+  /** The node that has these duties. */
+  interface Office {
+    /** True while this node leads. */
+    boolean leading();
+
+    /** Answers a report that a peer brought; null means not now. */
+    void report(WorkerReport r, int via, Consumer<ObjectNode> reply);
+  }
+
+  /** Over the direct ways to the outside parties. */
+  LinkDuties(Host host, Site site, LinkPolicy policy, Caller stateDirect, Caller cloudDirect) {
+    this.loop = host.loop();
+    this.site = site;
+    this.settings = site.settings();
+    this.policy = policy;
+    this.stateDirect = stateDirect;
+    this.cloudDirect = cloudDirect;
+    List<Member> members = settings.members();
+    this.links =
+        new Links(
+            policy,
+            settings.node(),
+            members.stream().map(Member::node).toList(),
+            settings.zones(),
+            loop.wallMs(),
+            loop.now());
+    this.state = new Route(links, Outside.STATE);
+    this.cloud = new Route(links, Outside.CLOUD);
+    this.carriage = new Carriage(policy, settings.zones().size());
+    this.forwarding = new Forwarding(host, members, links, new FromPeers());
+  }
+
+  /** A caller of the state service that goes round cuts, over one that does not. */
+  Caller state(Caller direct) {
+    return new Detour(loop, direct, Outside.STATE, state, forwarding, policy.hedgeMs());
+  }
+
+  /** A caller of the cloud that goes round cuts. */
+  Caller cloud() {
+    return new Detour(loop, cloudDirect, Outside.CLOUD, cloud, forwarding, policy.hedgeMs());
+  }
+
+  Forwarding forwarding() {
+    return forwarding;
+  }
+
+  Links links() {
+    return links;
+  }
+
+  Carriage carriage() {
+    return carriage;
+  }
+
+  /** The way to the state service. */
+  Route stateRoute() {
+    return state;
+  }
+
+  private WorkerClient workers;
+
+  /** Begins. */
+  void start(Election e, WorkerClient w, Office o) {
+    election = e;
+    workers = w;
+    office = o;
+    loop.every(BEAT_MS, this::beat);
+    loop.after(FIRST_ROW_MS, () -> loop.every(policy.rowMs(), this::tell));
+  }
+
+  private void tell() {
+    forwarding.tell(links.own(election.seenTerm(), office.leading(), loop.now()));
+  }
+
+  private void beat() {
+    long now = loop.now();
+    long age = links.ageMs(Outside.STATE, now);
+    boolean idle = !state.astray() && (age < 0 || age > IDLE_MS);
+    if (!probing && (state.probeDue(now) || idle)) {
+      probing = true;
+      probe(stateDirect, "/kv/" + Election.LEADER, state, true);
+    }
+    // Only the leader uses the cloud, and no detour is needed where nothing is asked.
+    if (cloud.probeDue(now) && office.leading()) {
+      probe(cloudDirect, CloudApi.TYPES, cloud, false);
+    }
+    for (Links.Change c : links.changes()) {
+      long left = lines.line(now);
+      if (left >= 0) {
+        LOG.warn(
+            "event={} from={} to={} before_ms={} by={} left_out={}",
+            c.down() ? "link_down" : "link_up",
+            c.from(),
+            c.to(),
+            c.sinceMs(),
+            c.by(),
+            left + links.leftOut());
+      }
+    }
+  }
+
+  private void probe(Caller direct, String path, Route route, boolean ofState) {
+    long sentMs = loop.now();
+    direct.call(
+        "GET",
+        path,
+        null,
+        PROBE_TIMEOUT_MS,
+        new Caller.Answer() {
+          @Override
+          public void answered(int status, byte[] body) {
+            done(!ofState || status != 503);
+          }
+
+          @Override
+          public void failed(boolean sent) {
+            done(false);
+          }
+
+          private void done(boolean worked) {
+            if (ofState) {
+              probing = false;
+            }
+            route.direct(worked, sentMs, loop.now());
+          }
+        });
+  }
+
+  /** A report that came to this node, which leads. */
+  void heard(WorkerReport r, boolean direct) {
+    links.heard(site.zones.find(r.zone()), direct, loop.now());
+  }
+
+  /** Carries a report to the leader where its worker does not get there; false: it is sent on. */
+  boolean carry(Incoming x, WorkerReport r, String leader) {
+    int peer = links.peer(leader);
+    if (peer < 0) {
+      return false;
+    }
+    long now = loop.now();
+    Row row = links.fresh(peer, now);
+    Row.Heard h = row == null ? null : row.zone(r.zone());
+    boolean stay =
+        carriage.carry(
+            r.machine(),
+            site.zones.find(r.zone()),
+            r.token(),
+            election.leaderTerm(),
+            h == null ? -1 : h.directMs(),
+            now);
+    if (!stay) {
+      return false;
+    }
+    if (carrying >= MOST_CARRYING) {
+      ReportApi.notNow(x, "too many reports are carried");
+      return true;
+    }
+    carrying++;
+    forwarding.carry(
+        peer,
+        settings.node(),
+        x.body(),
+        new Caller.Answer() {
+          @Override
+          public void answered(int status, byte[] body) {
+            carrying--;
+            x.answer(status, "application/json", body, status == 503);
+          }
+
+          @Override
+          public void failed(boolean sent) {
+            carrying--;
+            ReportApi.notNow(x, "the leader is not reached");
+          }
+        });
+    return true;
+  }
+
+  private final class FromPeers implements Forwarding.Listener {
+    @Override
+    public void row(Row row) {
+      if (links.row(row, loop.now()) && election != null) {
+        if (row.leading()) {
+          election.announced(row.node(), row.term());
+        } else {
+          election.sawTerm(row.term());
+        }
+      }
+    }
+
+    @Override
+    public void forward(
+        Outside to, String method, String path, byte[] body, long timeoutMs, Caller.Answer answer) {
+      Route own = to == Outside.STATE ? state : cloud;
+      if (links.down(to)) {
+        answer.failed(false);
+        return;
+      }
+      long sentMs = loop.now();
+      (to == Outside.STATE ? stateDirect : cloudDirect)
+          .call(
+              method,
+              path,
+              body,
+              timeoutMs,
+              new Caller.Answer() {
+                @Override
+                public void answered(int status, byte[] bytes) {
+                  boolean refused = to == Outside.STATE && status == 503;
+                  own.direct(!refused, sentMs, loop.now());
+                  if (refused) {
+                    answer.failed(false);
+                  } else {
+                    answer.answered(status, bytes);
+                  }
+                }
+
+                @Override
+                public void failed(boolean sent) {
+                  own.direct(false, sentMs, loop.now());
+                  answer.failed(sent);
+                }
+              });
+    }
+
+    @Override
+    public void orders(String address, byte[] body, Caller.Answer answer) {
+      workers.pass(address, body, answer);
+    }
+
+    @Override
+    public void carried(int peer, byte[] report, Caller.Answer answer) {
+      WorkerReport r;
+      try {
+        r = WorkerCodec.decode(Json.parseObject(report));
+      } catch (BadMessage e) {
+        answer.answered(400, Json.bytes(Json.object().put(Fields.ERROR, e.getMessage())));
+        return;
+      }
+      election.sawTerm(r.token());
+      if (!office.leading() || peer < 0) {
+        String leader = election.leader();
+        if (leader == null || leader.equals(settings.node())) {
+          answer.answered(503, Json.bytes(Json.object().put(Fields.ERROR, "no leader known")));
+        } else {
+          answer.answered(421, Json.bytes(Json.object().put(Fields.LEADER, leader)));
+        }
+        return;
+      }
+      heard(r, false);
+      office.report(
+          r,
+          peer,
+          orders -> {
+            if (orders == null) {
+              answer.answered(503, Json.bytes(Json.object().put(Fields.ERROR, "not now")));
+            } else {
+              answer.answered(200, Json.bytes(orders));
+            }
+          });
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -5,12 +5,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -32,8 +27,11 @@
 import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
-import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Caller;
+import org.mallowroad.net.Host;
+import org.mallowroad.net.Incoming;
 import org.mallowroad.net.Loop;
+import org.mallowroad.net.XnioHost;
 import org.mallowroad.peer.Peers;
 import org.mallowroad.state.StateStore;
 import org.mallowroad.wire.BadMessage;
@@ -41,8 +39,6 @@
 import org.mallowroad.worker.WorkerClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.Options;
-import org.xnio.XnioWorker;
 
 /** One controller: listens, takes part in the election and, while elected, leads. */
 public final class Node {
@@ -52,7 +48,7 @@
   private static final int ENDS_PER_MB = 400;
 
   private final Site site;
-  private final XnioWorker worker;
+  private final Host host;
   private final Loop loop;
   private final CloudApi cloud;
   private final StateStore state;
@@ -62,36 +58,49 @@
   private final ReportApi reports;
   private final Peers peers;
   private final Door door;
-  private final Undertow server;
   private final ConsoleServer console;
+
+  /** What goes round cuts; null where it is off. */
+  private final LinkDuties links;
+
   private Leader leader;
   private PrometheusMeterRegistry registry;
 
-  /** Wires a node together; nothing runs before {@link #start()}. */
+  /** A node on this machine. */
   public Node(Site site) throws IOException {
+    this(site, new XnioHost(site.settings()));
+  }
+
+  /** Wires a node together; nothing runs before {@link #start()}. */
+  public Node(Site site, Host host) throws IOException {
     this.site = site;
+    this.host = host;
+    this.loop = host.loop();
     Settings s = site.settings();
-    this.worker = Loop.worker("loop");
-    this.loop = new Loop(worker.getIoThread());
-    ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 0);
     String json = "application/json";
-    // What all bodies that are being read may hold together, and the largest answer of an outside
-    // service: each a small part of the memory, so that even all at once stay clear of its end.
+    // The largest answer of an outside service: a small part of the memory.
     int ram = (int) (s.ramMb() * 1024 * 1024);
+    Caller stateCaller = host.caller(s.state(), json, 32, ram / 8);
+    Caller cloudCaller = host.caller(s.cloud(), json, 8, ram / 8);
+    Caller follower = host.caller(s.state(), json, 8, ram / 8);
+    boolean on = site.operator.links().isPresent() && !s.members().isEmpty();
+    this.links =
+        on
+            ? new LinkDuties(host, site, site.operator.links().get(), stateCaller, cloudCaller)
+            : null;
     this.state =
-        new StateStore(
-            loop,
-            new HttpCaller(loop, buffers, s.state(), json, 32, ram / 8),
-            new HttpCaller(loop, buffers, s.state(), json, 8, ram / 8));
+        on
+            ? new StateStore(loop, links.state(stateCaller), links.state(follower))
+            : new StateStore(loop, stateCaller, follower);
     long now = loop.now();
     this.cloud =
         new CloudApi(
             loop,
-            new HttpCaller(loop, buffers, s.cloud(), json, 8, ram / 8),
+            on ? links.cloud() : cloudCaller,
             new Budget(s.cloudRps() * 0.8, s.cloudRps(), now),
             site.types,
             site.zones);
-    this.workers = new WorkerClient(loop, buffers, Math.max(16, s.maxSockets() / 8));
+    this.workers = new WorkerClient(host, Math.max(16, s.maxSockets() / 8));
     this.users =
         new UserApi(
             loop,
@@ -104,7 +113,7 @@
             (int) (s.ramMb() * ENDS_PER_MB));
     this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
     this.reports = new ReportApi(loop, new NodeReports());
-    this.peers = new Peers(loop, buffers, s.members(), new NodePeers());
+    this.peers = new Peers(host, s.members(), new NodePeers());
     // Not even its classes are loaded where it is off.
     this.console =
         site.operator.console().isEmpty()
@@ -112,21 +121,11 @@
             : new ConsoleServer(
                 site.operator.console().get(),
                 new Watched(new Sketcher(loop, site, state, election, () -> leader)));
-    this.door = new Door(this::serve, reports, this::healthy, this::metrics, ram / 16);
-    this.server =
-        Undertow.builder()
-            .setWorker(worker)
-            .setByteBufferPool(buffers)
-            .addHttpListener(s.listen().port(), s.listen().host(), door)
-            .addHttpListener(s.peerListen().port(), s.peerListen().host(), peers)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Door.MOST_BODY)
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-            // Workers and users; an eighth is for direct orders, the rest for the outside parties.
-            .setSocketOption(Options.CONNECTION_HIGH_WATER, s.maxSockets() * 13 / 16)
-            .setSocketOption(Options.CONNECTION_LOW_WATER, s.maxSockets() * 13 / 16 - 10)
-            .build();
+    this.door = new Door(this::serve, reports::report, this::healthy, this::metrics);
+    if (on) {
+      peers.forwarding(links.forwarding());
+      workers.bypass(links.forwarding()::orders);
+    }
   }
 
   /** Begins to serve. */
@@ -134,20 +133,15 @@
     // All of it on the loop, while the calling thread only waits: one thread at a time reads files
     // and sockets, also while the process starts.
     CompletableFuture<Void> started = new CompletableFuture<>();
-    worker
-        .getIoThread()
-        .execute(
-            () -> {
-              try {
-                server.start();
-                startConsole();
-                types();
-                election.start();
-                started.complete(null);
-              } catch (RuntimeException e) {
-                started.completeExceptionally(e);
-              }
-            });
+    loop.soon(
+        () -> {
+          try {
+            begin();
+            started.complete(null);
+          } catch (RuntimeException e) {
+            started.completeExceptionally(e);
+          }
+        });
     try {
       started.join();
     } catch (CompletionException e) {
@@ -157,6 +151,41 @@
     LOG.info("event=started node={} listen={}", site.settings.node(), site.settings.listen());
   }
 
+  /** The same on the loop itself. */
+  public void begin() {
+    host.listen(new Inlet());
+    startConsole();
+    types();
+    if (links != null) {
+      links.start(election, workers, new LinkOffice());
+    }
+    election.start();
+  }
+
+  private final class Inlet implements Host.Front {
+    @Override
+    public void request(Incoming x) {
+      door.request(x);
+    }
+
+    @Override
+    public void message(Incoming x) {
+      peers.message(x);
+    }
+  }
+
+  private final class LinkOffice implements LinkDuties.Office {
+    @Override
+    public boolean leading() {
+      return leader != null;
+    }
+
+    @Override
+    public void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
+      leader.report(r, via, reply);
+    }
+  }
+
   /** A console that cannot listen keeps no controller from its work. */
   private void startConsole() {
     try {
@@ -178,12 +207,12 @@
 
   /** Where users and workers reach this node once it has started. */
   public String address() {
-    return bound(0);
+    return host.bound(0);
   }
 
   /** Where the other controllers reach this node once it has started. */
   public String peerAddress() {
-    return bound(1);
+    return host.bound(1);
   }
 
   /** Where the console listens once it has started; empty while it is off. */
@@ -191,12 +220,6 @@
     return console == null ? "" : console.address();
   }
 
-  /** The listeners in the order in which they were added; a port 0 in the settings is any port. */
-  private String bound(int listener) {
-    InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(listener).getAddress();
-    return a.getHostString() + ":" + a.getPort();
-  }
-
   /** Ends all duties and connections. */
   public void stop() {
     loop.soon(
@@ -209,8 +232,7 @@
     if (console != null) {
       console.stop();
     }
-    server.stop();
-    worker.shutdown();
+    host.stop();
   }
 
   private void types() {
@@ -302,7 +324,7 @@
     gauge("mallowroad.memory.process.bytes", n -> Memory.processBytes());
     gauge("mallowroad.memory.heap.bytes", n -> Memory.heapBytes());
     gauge("mallowroad.collector.share", n -> Memory.collectorShare());
-    gauge("mallowroad.bodies.bytes", n -> n.door.bytes());
+    gauge("mallowroad.bodies.bytes", n -> n.host.bytes());
     gauge("mallowroad.kept.ends", n -> n.users.ends());
     gauge("mallowroad.kept.names", n -> n.site.names());
     gauge("mallowroad.kept.callers", n -> n.workers.kept());
@@ -351,7 +373,7 @@
 
     @Override
     public Thread thread() {
-      return loop.thread();
+      return host.thread();
     }
   }
 
@@ -435,9 +457,17 @@
       return l == null || l.equals(site.settings.node()) ? null : l;
     }
 
+    @Override
+    public boolean carry(Incoming x, WorkerReport r, String to) {
+      return links != null && links.carry(x, r, to);
+    }
+
     @Override
     public void report(WorkerReport r, Consumer<ObjectNode> reply) {
-      leader.report(r, reply);
+      if (links != null) {
+        links.heard(r, true);
+      }
+      leader.report(r, -1, reply);
     }
   }
 }
--- a/src/main/java/org/mallowroad/controller/Sketcher.java
+++ b/src/main/java/org/mallowroad/controller/Sketcher.java
@@ -66,7 +66,7 @@
 
   private void turn(boolean first) {
     Leader l = leader.get();
-    long began = System.nanoTime();
+    long began = loop.nanos();
     if (l == null || !l.loaded()) {
       tookNs = 0;
       over(plain(l, began));
@@ -83,7 +83,7 @@
       throw e;
     }
     if (made == null) {
-      tookNs += System.nanoTime() - began;
+      tookNs += loop.nanos() - began;
       loop.soon(() -> turn(false));
     } else {
       over(made);
@@ -152,8 +152,8 @@
         phase,
         l != null ? l.term() : election.seenTerm(),
         l != null ? site.settings.node() : election.leader() == null ? "" : election.leader(),
-        System.currentTimeMillis(),
-        (tookNs + System.nanoTime() - began) / 1000,
+        loop.wallMs(),
+        (tookNs + loop.nanos() - began) / 1000,
         l == null ? 0 : l.lagMs(),
         state.contactMs() < 0 ? -1 : silentMs / 1000.0,
         l != null && l.firm(),
--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -1,5 +1,6 @@
 package org.mallowroad.controller;
 
+import java.util.Arrays;
 import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
@@ -52,6 +53,15 @@
 
   private static final long SILENT_MS = 2_000;
 
+  /**
+   * A worker whose reports are carried may be trying the direct way: a report without an answer, a
+   * second's wait, the way back, and up to half a second each.
+   */
+  private static final long ROUND_MS = 6_000;
+
+  /** So long without a report that came by itself: a zone's workers come by way of a peer now. */
+  private static final long REROUTED_MS = 1_500;
+
   /**
    * After a standstill workers are turned away this long at the most until the lease is renewed.
    */
@@ -74,6 +84,8 @@
   private final long leaseMs;
   private final Haste haste;
   private final Haste[] zoneHaste;
+  private final long[] directMs;
+  private final boolean[] rerouted;
   private int lines;
   private long leftOut;
 
@@ -90,6 +102,9 @@
     HealthPolicy p = health.policy();
     this.haste = new Haste(p.hasteShare(), p.hasteLeast(), leaseMs, now);
     this.zoneHaste = new Haste[zones.size()];
+    this.directMs = new long[zones.size()];
+    this.rerouted = new boolean[zones.size()];
+    Arrays.fill(directMs, now);
     for (int z = 0; z < zoneHaste.length; z++) {
       zoneHaste[z] = new Haste(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
     }
@@ -119,6 +134,18 @@
     return still.count() > 0 && renewedMs < still.since() && now - still.since() < UNSURE_MS;
   }
 
+  /** By which way a zone's report came: the first that is carried, and none came by itself. */
+  void came(int zone, boolean direct, long now) {
+    if (direct) {
+      directMs[zone] = now;
+      rerouted[zone] = false;
+    } else if (!rerouted[zone] && now - directMs[zone] > REROUTED_MS) {
+      rerouted[zone] = true;
+      health.silence().rerouted(zone, now);
+      LOG.warn("event=zone_rerouted zone={} direct_ms={}", zones.name(zone), now - directMs[zone]);
+    }
+  }
+
   /** What a report says of its machine's health besides that it was sent: costs its own tasks. */
   void reported(Machine m, long now) {
     int overdue = 0;
@@ -177,7 +204,7 @@
     if (ledger.mustFence(m, now)) {
       m.returning = true;
       line(m.name, "machine_unfenced", 0);
-    } else if (silence.silentMs(m.health, now) > silentMs) {
+    } else if (silence.silentMs(m.health, now) > silentMs + (m.via >= 0 ? ROUND_MS : 0)) {
       if (mayReturn(m, silence, now)) {
         m.returning = true;
         line(m.name, m.reportedMs < 0 ? "machine_unseen" : "machine_silent", now - m.reportedMs);
@@ -208,7 +235,7 @@
       return (!m.empty() || ms > HOLD_LEASES * leaseMs)
           && zoneHaste[zone].take(silence.known(zone), now);
     }
-    if (silence.deaf() && ms <= leaseMs) {
+    if (silence.deaf(now) && ms <= leaseMs) {
       return false; // When most are silent the fault is rather on this side.
     }
     return haste.take(ledger.machines().size(), now);
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -25,6 +25,9 @@
   /** Where its worker listens, once known. */
   public String address = "";
 
+  /** The peer that brought its newest report, or -1: it came by itself. */
+  public int via = -1;
+
   /** Session and sequence of the newest message seen; 0 before the first one. */
   public long session;
 
--- a/src/main/java/org/mallowroad/core/health/Silence.java
+++ b/src/main/java/org/mallowroad/core/health/Silence.java
@@ -45,7 +45,7 @@
   private final long[] zoneHeardMs;
   private int lateAll;
   private int knownAll;
-  private long listeningMs;
+  private final long[] listeningMs;
   private long looked;
 
   /** For workers that report every {@code reportS}, give or take a quarter. */
@@ -60,7 +60,8 @@
     this.zoneHeardMs = new long[zones];
     Arrays.fill(zoneHeardMs, now);
     Arrays.fill(sinceMs, now);
-    this.listeningMs = now;
+    this.listeningMs = new long[zones];
+    Arrays.fill(listeningMs, now);
   }
 
   /** A machine became known otherwise than by its report: it is given time to be heard. */
@@ -98,12 +99,26 @@
    * back here, since they were turned away or gave this node up.
    */
   public void listen(long now) {
-    listeningMs = now + SEARCH_MS;
+    Arrays.fill(listeningMs, now + SEARCH_MS);
     for (MachineHealth m : order) {
       late(m, false);
     }
   }
 
+  /**
+   * The zone's workers have lost their way to this side, and the first of them is heard by way of a
+   * peer: the others are given the time to find it too, or half a fleet that lives would be
+   * returned as silent while the rest is on its way round.
+   */
+  public void rerouted(int zone, long now) {
+    listeningMs[zone] = now + SEARCH_MS;
+    for (MachineHealth m : order) {
+      if (m.zone == zone) {
+        late(m, false);
+      }
+    }
+  }
+
   private void late(MachineHealth m, boolean is) {
     if (m.late != is) {
       m.late = is;
@@ -114,7 +129,7 @@
 
   /** How long the machine has been silent, not counting when this side did not listen. */
   public long silentMs(MachineHealth m, long now) {
-    return now - Math.max(m.heardMs, listeningMs);
+    return now - Math.max(m.heardMs, listeningMs[m.zone]);
   }
 
   /** True when the machine's report is overdue, as of the newest judgement. */
@@ -141,8 +156,15 @@
     return n;
   }
 
-  /** True when most machines outside cut zones are silent: nothing can be said of anybody then. */
-  public boolean deaf() {
+  /**
+   * True when most machines outside cut zones are silent, or no zone has been heard for so long
+   * that it is no chance, though few machines may be overdue yet: nothing can be said of anybody
+   * then.
+   */
+  public boolean deaf(long now) {
+    if (knownAll >= policy.cutLeast() && allQuiet(now)) {
+      return true;
+    }
     int of = 0;
     int silent = 0;
     for (int z = 0; z < cut.length; z++) {
@@ -178,10 +200,12 @@
   public List<Verdict> judge(long now) {
     for (MachineHealth m : order) {
       looked++;
-      if (silentMs(m, now) <= lateMs) {
+      if (now - m.heardMs <= lateMs) {
         break; // Those behind it were heard later.
       }
-      late(m, true);
+      if (silentMs(m, now) > lateMs) {
+        late(m, true);
+      }
     }
     List<Verdict> changed = new ArrayList<>();
     for (int z = 0; z < cut.length; z++) {
@@ -206,9 +230,18 @@
     return known[z] >= policy.cutLeast() && (quiet(z, now) || 2 * late[z] > known[z]);
   }
 
+  private boolean allQuiet(long now) {
+    for (int z = 0; z < cut.length; z++) {
+      if (known[z] > 0 && !cut[z] && now - zoneHeardMs[z] <= quietMs(z)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Nobody of the zone was heard for so long that it is no chance. */
   private boolean quiet(int z, long now) {
-    return now - Math.max(zoneHeardMs[z], listeningMs + (long) (1.25 * reportMs)) > quietMs(z);
+    return now - Math.max(zoneHeardMs[z], listeningMs[z] + (long) (1.25 * reportMs)) > quietMs(z);
   }
 
   private long quietMs(int z) {
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/links/Links.java
@@ -0,0 +1,258 @@
+package org.mallowroad.core.links;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * All links that a node knows of: its own from its own traffic, the others' from the rows that they
+ * send. Peers and zones are dense indices here; what a row says about names that this node does not
+ * know is left out.
+ */
+public final class Links {
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** Changes that wait to be logged; more are counted only. */
+  private static final int MOST_CHANGES = 64;
+
+  private final LinkPolicy policy;
+  private final String node;
+  private final List<String> peers;
+  private final List<String> zones;
+  private final long started;
+  private final Link[] outside = new Link[Outside.values().length];
+  private final Link[] toPeer;
+  private final long[] directMs;
+  private final long[] carriedMs;
+  private final Row[] rows;
+  private final long[] rowMs;
+  private final ArrayDeque<Change> changes = new ArrayDeque<>();
+  private long leftOut;
+  private long seq;
+
+  /**
+   * A link went down or came up.
+   *
+   * @param by by whose word
+   * @param sinceMs how long it had been as it was before
+   */
+  public record Change(String from, String to, boolean down, long sinceMs, String by) {}
+
+  /** The links of a node that began at {@code started} by the time of day. */
+  public Links(
+      LinkPolicy policy,
+      String node,
+      List<String> peers,
+      List<String> zones,
+      long started,
+      long now) {
+    this.policy = policy;
+    this.node = node;
+    this.peers = List.copyOf(peers);
+    this.zones = List.copyOf(zones);
+    this.started = started;
+    Arrays.setAll(outside, i -> new Link(now));
+    this.toPeer = new Link[peers.size()];
+    Arrays.setAll(toPeer, i -> new Link(now));
+    this.directMs = new long[zones.size()];
+    this.carriedMs = new long[zones.size()];
+    Arrays.fill(directMs, NEVER);
+    Arrays.fill(carriedMs, NEVER);
+    this.rows = new Row[peers.size()];
+    this.rowMs = new long[peers.size()];
+  }
+
+  /** The operators' values. */
+  public LinkPolicy policy() {
+    return policy;
+  }
+
+  /** Index of a peer, or -1. */
+  public int peer(String name) {
+    return peers.indexOf(name);
+  }
+
+  /** Name of a peer. */
+  public String peerName(int peer) {
+    return peers.get(peer);
+  }
+
+  /** How many peers there are. */
+  public int peerCount() {
+    return peers.size();
+  }
+
+  /** A call of this node to an outside party went its own way and worked, or did not. */
+  public void used(Outside party, boolean worked, long sentMs, long now) {
+    note(
+        outside[party.ordinal()],
+        party.name().toLowerCase(java.util.Locale.ROOT),
+        worked,
+        sentMs,
+        now);
+  }
+
+  /** A message to a peer was answered, or not. */
+  public void usedPeer(int peer, boolean worked, long sentMs, long now) {
+    note(toPeer[peer], peers.get(peer), worked, sentMs, now);
+  }
+
+  private void note(Link link, String to, boolean worked, long sentMs, long now) {
+    long before = link.changedMs();
+    if (worked ? link.ok(sentMs, now) : link.failed(sentMs, now)) {
+      changed(new Change(node, to, !worked, now - before, node));
+    }
+  }
+
+  /** A worker's report came, by itself or carried by a peer. */
+  public void heard(int zone, boolean direct, long now) {
+    if (zone >= 0 && zone < directMs.length) {
+      (direct ? directMs : carriedMs)[zone] = now;
+    }
+  }
+
+  /** A peer's row came; false when it is of an unknown node or older than what is known. */
+  public boolean row(Row row, long now) {
+    int p = peer(row.node());
+    if (p < 0 || (rows[p] != null && !row.newer(rows[p]))) {
+      return false;
+    }
+    Row old = rows[p];
+    if (old != null) {
+      for (Outside o : Outside.values()) {
+        boolean was = old.ageMs(o) >= 0;
+        if (was != row.ageMs(o) >= 0) {
+          String to = o.name().toLowerCase(java.util.Locale.ROOT);
+          changed(new Change(row.node(), to, was, now - rowMs[p], row.node()));
+        }
+      }
+    }
+    rows[p] = row;
+    rowMs[p] = now;
+    return true;
+  }
+
+  private void changed(Change c) {
+    if (changes.size() < MOST_CHANGES) {
+      changes.add(c);
+    } else {
+      leftOut++;
+    }
+  }
+
+  /** Takes the changes that wait to be logged. */
+  public List<Change> changes() {
+    List<Change> out = new ArrayList<>(changes);
+    changes.clear();
+    return out;
+  }
+
+  /** Takes the count of changes that were left out. */
+  public long leftOut() {
+    long n = leftOut;
+    leftOut = 0;
+    return n;
+  }
+
+  /** This node's row. */
+  public Row own(long term, boolean leading, long now) {
+    List<String> reached = new ArrayList<>();
+    for (int p = 0; p < toPeer.length; p++) {
+      if (toPeer[p].ageMs(now) >= 0) {
+        reached.add(peers.get(p));
+      }
+    }
+    List<Row.Heard> heard = new ArrayList<>();
+    for (int z = 0; z < zones.size(); z++) {
+      heard.add(new Row.Heard(zones.get(z), age(directMs[z], now), age(carriedMs[z], now)));
+    }
+    return new Row(
+        node,
+        started,
+        ++seq,
+        term,
+        leading,
+        outside[0].ageMs(now),
+        outside[1].ageMs(now),
+        reached,
+        heard);
+  }
+
+  private static long age(long atMs, long now) {
+    return atMs == NEVER ? -1 : now - atMs;
+  }
+
+  /** True when the newest sign of this node's own link to the party is a failure. */
+  public boolean down(Outside party) {
+    return outside[party.ordinal()].down();
+  }
+
+  /** Since when this node's own link to the party is as it is. */
+  public long sinceMs(Outside party) {
+    return outside[party.ordinal()].changedMs();
+  }
+
+  /** Age of the newest use of an outside party that worked; -1 while down or before the first. */
+  public long ageMs(Outside party, long now) {
+    return outside[party.ordinal()].ageMs(now);
+  }
+
+  /** True when the newest sign of the link to a peer is a failure. */
+  public boolean downPeer(int peer) {
+    return toPeer[peer].down();
+  }
+
+  /** A peer's newest row, while it is fresh, else null. */
+  public Row fresh(int peer, long now) {
+    return rows[peer] != null && now - rowMs[peer] <= policy.freshMs() ? rows[peer] : null;
+  }
+
+  /** How many peers' rows are fresh. */
+  public int freshRows(long now) {
+    int n = 0;
+    for (int p = 0; p < rows.length; p++) {
+      n += fresh(p, now) != null ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Peers that are reached and say that they reach the party by their own link. */
+  public IntList reaching(Outside party, long now) {
+    IntList out = new IntArrayList();
+    for (int p = 0; p < rows.length; p++) {
+      if (reaches(p, party, now)) {
+        out.add(p);
+      }
+    }
+    return out;
+  }
+
+  /** True when the peer is reached and said a moment ago that it reaches the party. */
+  public boolean reaches(int peer, Outside party, long now) {
+    Row r = fresh(peer, now);
+    return r != null
+        && !toPeer[peer].down()
+        && r.ageMs(party) >= 0
+        && r.ageMs(party) <= policy.freshMs();
+  }
+
+  /** Links that are down by this node's own word. */
+  public int downCount() {
+    int n = 0;
+    for (Link l : outside) {
+      n += l.down() ? 1 : 0;
+    }
+    for (Link l : toPeer) {
+      n += l.down() ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Names of the zones, as rows have them. */
+  public String zoneName(int zone) {
+    return zones.get(zone);
+  }
+}
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -38,6 +38,7 @@
   private final SplittableRandom random;
 
   private String leader;
+  private long leaderTerm;
   private long seenTerm;
   private boolean leading;
   private long term;
@@ -77,6 +78,11 @@
     return leader;
   }
 
+  /** The term of the leader as last seen; 0 before the first. */
+  public long leaderTerm() {
+    return leaderTerm;
+  }
+
   /** The highest term seen anywhere. */
   public long seenTerm() {
     return Math.max(seenTerm, term);
@@ -147,7 +153,8 @@
       return;
     }
     leader = value.path("node").asText();
-    seenTerm = Math.max(seenTerm, value.path("term").asLong());
+    leaderTerm = value.path("term").asLong();
+    seenTerm = Math.max(seenTerm, leaderTerm);
     if (leading && seenMark > mark) {
       stepDown();
     }
@@ -255,6 +262,7 @@
     }
     leading = true;
     leader = node;
+    leaderTerm = newTerm;
     term = newTerm;
     mark = newMark;
     lease = id;
@@ -317,6 +325,7 @@
       sawTerm(otherTerm);
       if (!leading) {
         leader = other;
+        leaderTerm = otherTerm;
       }
     }
   }
--- /dev/null
+++ b/src/main/java/org/mallowroad/net/Caller.java
@@ -0,0 +1,27 @@
+package org.mallowroad.net;
+
+/** Sends requests to one endpoint. */
+public interface Caller {
+  /** What comes of a request; exactly one method is called, once, on the loop. */
+  interface Answer {
+    /** A complete response. */
+    void answered(int status, byte[] body);
+
+    /**
+     * No complete response.
+     *
+     * @param sent false when it is certain that the other side did not get the request
+     */
+    void failed(boolean sent);
+  }
+
+  /**
+   * Sends a request; with no answer in time it has failed.
+   *
+   * @param body null for none
+   */
+  void call(String method, String path, byte[] body, long timeoutMs, Answer answer);
+
+  /** Closes what is kept; calls that are out still get their answers. */
+  void close();
+}
--- a/src/main/java/org/mallowroad/net/HttpCaller.java
+++ b/src/main/java/org/mallowroad/net/HttpCaller.java
@@ -22,11 +22,13 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /** Sends requests to one endpoint over a small pool of kept connections. */
-public final class HttpCaller {
+public final class HttpCaller implements Caller {
   private static final HttpString CONTENT_TYPE = Headers.CONTENT_TYPE;
+
+  /** Kept without use, or half of what may be open where that is more. */
   private static final int MAX_IDLE = 8;
 
-  private final Loop loop;
+  private final XnioLoop loop;
   private final ByteBufferPool buffers;
   private final HttpClientProvider provider = new HttpClientProvider();
   private final URI uri;
@@ -38,25 +40,12 @@
   private final int maxBody;
   private boolean closed;
 
-  /** What comes of a request; exactly one method is called, once. */
-  public interface Answer {
-    /** A complete response. */
-    void answered(int status, byte[] body);
-
-    /**
-     * No complete response.
-     *
-     * @param sent false when it is certain that the other side did not get the request
-     */
-    void failed(boolean sent);
-  }
-
   /**
    * A caller for an endpoint with at most {@code maxOpen} connections; an answer of more than
    * {@code maxBody} bytes counts as none.
    */
   public HttpCaller(
-      Loop loop,
+      XnioLoop loop,
       ByteBufferPool buffers,
       Endpoint endpoint,
       String contentType,
@@ -71,9 +60,10 @@
     this.maxBody = maxBody;
   }
 
-  /** Sends a request; with no answer in time its connection is closed. */
-  public void call(HttpString method, String path, byte[] body, long timeoutMs, Answer answer) {
-    Call call = new Call(method, path, body, answer);
+  /** With no answer in time the connection is closed. */
+  @Override
+  public void call(String method, String path, byte[] body, long timeoutMs, Answer answer) {
+    Call call = new Call(new HttpString(method), path, body, answer);
     ClientConnection c;
     while ((c = idle.pollFirst()) != null) {
       if (c.isOpen()) {
@@ -118,6 +108,7 @@
   }
 
   /** Closes the kept connections; those that are in use are closed after their answers. */
+  @Override
   public void close() {
     closed = true;
     ClientConnection c;
@@ -256,7 +247,7 @@
       // The exchange is closed once this listener returns; only then may the next one begin.
       loop.soon(
           () -> {
-            if (!closed && c.isOpen() && idle.size() < MAX_IDLE) {
+            if (!closed && c.isOpen() && idle.size() < Math.max(MAX_IDLE, maxOpen / 2)) {
               idle.addFirst(c);
             } else {
               IoUtils.safeClose(c);
--- a/src/main/java/org/mallowroad/api/Intake.java
+++ b/src/main/java/org/mallowroad/net/Intake.java
@@ -1,4 +1,4 @@
-package org.mallowroad.api;
+package org.mallowroad.net;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
@@ -16,20 +16,25 @@
  * and what is beyond the bound is told at once to come back.
  */
 final class Intake {
-  /** The largest body that the protocol allows. */
+  /** The largest body that the protocol allows users and workers. */
   static final int MOST_BODY = 64 * 1024;
 
+  /** The largest message between controllers: a whole body, with room for what goes with it. */
+  static final int MOST_MESSAGE = MOST_BODY + 8 * 1024;
+
   /** A body that takes longer makes room for others: every asker has given up by then. */
   private static final long MOST_S = 8;
 
   private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
 
   private final long most;
+  private final int largest;
   private long bytes;
 
-  /** For bodies that take {@code most} bytes together. */
-  Intake(long most) {
+  /** For bodies of {@code largest} bytes at most that take {@code most} bytes together. */
+  Intake(long most, int largest) {
     this.most = most;
+    this.largest = largest;
   }
 
   /** Bytes in hand, by what was announced. */
@@ -40,13 +45,14 @@
   /** Reads the body and hands it on; the answer may come after the handler returned. */
   void read(HttpServerExchange x, BiConsumer<HttpServerExchange, byte[]> handler) {
     long announced = x.getRequestContentLength();
-    long length = announced < 0 || announced > MOST_BODY ? MOST_BODY : announced;
+    long length = announced < 0 || announced > largest ? largest : announced;
     if (bytes + length > most) {
       x.setPersistent(false);
-      Reply.later(x, "too many bodies at once");
+      HttpIncoming.refuse(x, 503, "too many bodies at once");
       return;
     }
     Hand hand = new Hand(x, length);
+    x.setMaxEntitySize(largest);
     x.getRequestReceiver()
         .receiveFullBytes(
             (e, body) -> {
@@ -57,9 +63,9 @@
               hand.give();
               e.setPersistent(false);
               if (error instanceof RequestTooBigException) {
-                Reply.error(e, 413, "the body is too large");
+                HttpIncoming.refuse(e, 413, "the body is too large");
               } else {
-                Reply.error(e, 400, "the body cannot be read");
+                HttpIncoming.refuse(e, 400, "the body cannot be read");
               }
             });
   }
@@ -102,7 +108,7 @@
             handler.run();
           } catch (RuntimeException e) {
             LOG.error("event=request_failed path={}", x.getRequestPath(), e);
-            Reply.error(x, 500, "internal error");
+            HttpIncoming.refuse(x, 500, "internal error");
           }
         });
   }
--- a/src/main/java/org/mallowroad/net/Loop.java
+++ b/src/main/java/org/mallowroad/net/Loop.java
@@ -1,79 +1,54 @@
 package org.mallowroad.net;
 
-import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioExecutor;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
 
 /**
- * The one thread on which everything runs: sockets, timers and the core. The machine is a fraction
- * of a core, so a second thread would only add switches, and one thread needs no locks.
+ * The one thread on which everything of a node runs: sockets, timers and the core. The machine is a
+ * fraction of a core, so a second thread would only add switches, and one thread needs no locks. A
+ * real node's is {@link XnioLoop}; a world of failing machines turns all its nodes' loops itself.
  */
-public final class Loop {
+public abstract class Loop {
   private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
 
-  private final XnioIoThread thread;
   private volatile boolean closed;
 
-  /** Over an I/O thread. */
-  public Loop(XnioIoThread thread) {
-    this.thread = thread;
+  /** The steady clock in milliseconds. */
+  public long now() {
+    return nanos() / 1_000_000L;
   }
 
-  /** A worker with the one thread that a loop runs on, and one for what Undertow dispatches. */
-  public static XnioWorker worker(String name) throws IOException {
-    return Xnio.getInstance()
-        .createWorker(
-            OptionMap.builder()
-                .set(Options.WORKER_NAME, name)
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
-  }
+  /** The steady clock in nanoseconds, for what is shorter than a millisecond. */
+  public abstract long nanos();
 
-  /** The thread. */
-  public XnioIoThread thread() {
-    return thread;
-  }
+  /** The time of day in milliseconds since 1970, within the bound of the settings. */
+  public abstract long wallMs();
 
-  /** The steady clock in milliseconds. */
-  public long now() {
-    return System.nanoTime() / 1_000_000L;
-  }
+  /** Runs soon, after what waits already. */
+  protected abstract void execute(Runnable task);
+
+  /** Runs once after a delay of at least a millisecond. */
+  protected abstract Timer schedule(long ms, Runnable task);
 
   /** Ends all duties: what asks for a timer from now on gets none. */
-  public void close() {
+  public final void close() {
     closed = true;
   }
 
   /** Runs soon on the loop. */
-  public void soon(Runnable task) {
-    if (closed) {
-      return;
+  public final void soon(Runnable task) {
+    if (!closed) {
+      execute(() -> guarded(task));
     }
-    thread.execute(() -> guarded(task));
   }
 
   /** Runs once after a delay, unless cancelled. */
-  public Timer after(long ms, Runnable task) {
-    if (closed) {
-      return () -> false;
-    }
-    XnioExecutor.Key key =
-        thread.executeAfter(() -> guarded(task), Math.max(1, ms), TimeUnit.MILLISECONDS);
-    return key::remove;
+  public final Timer after(long ms, Runnable task) {
+    return closed ? () -> false : schedule(Math.max(1, ms), () -> guarded(task));
   }
 
   /** Starts a long-lived duty that runs again and again until it is cancelled. */
-  public Timer every(long ms, Runnable task) {
+  public final Timer every(long ms, Runnable task) {
     Duty d = new Duty(ms, task);
     d.next();
     return d;
@@ -99,7 +74,7 @@
     private final long ms;
     private final Runnable task;
     private boolean over;
-    private XnioExecutor.Key key;
+    private Timer key;
 
     Duty(long ms, Runnable task) {
       this.ms = ms;
@@ -109,22 +84,21 @@
     void next() {
       if (!over && !closed) {
         key =
-            thread.executeAfter(
+            schedule(
+                ms,
                 () -> {
                   if (!over) {
                     guarded(task);
                     next();
                   }
-                },
-                ms,
-                TimeUnit.MILLISECONDS);
+                });
       }
     }
 
     @Override
     public boolean cancel() {
       over = true;
-      return key != null && key.remove();
+      return key != null && key.cancel();
     }
   }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/net/XnioHost.java
@@ -0,0 +1,109 @@
+package org.mallowroad.net;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.mallowroad.config.Settings;
+import org.mallowroad.config.Settings.Endpoint;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/** A real node's surroundings: XNIO's thread, Undertow's listeners, sockets. */
+public final class XnioHost implements Host {
+  private static final String REPORT = "/v1/report";
+
+  private final Settings settings;
+  private final XnioWorker worker;
+  private final XnioLoop loop;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 16 * 1024, 64, 0);
+  private final Intake reports;
+  private final Intake others;
+  private final Intake messages;
+  private Undertow server;
+
+  /** For a node with these settings; nothing listens before {@link #listen}. */
+  public XnioHost(Settings settings) throws IOException {
+    this.settings = settings;
+    this.worker = XnioLoop.worker("loop");
+    this.loop = new XnioLoop(worker.getIoThread());
+    // What all bodies that are being read may hold together: a small part of the memory, so that
+    // even all at once stay clear of its end.
+    long bytes = (long) (settings.ramMb() * 1024 * 1024) / 16;
+    this.reports = new Intake(bytes, Intake.MOST_BODY);
+    this.others = new Intake(bytes, Intake.MOST_BODY);
+    this.messages = new Intake(bytes, Intake.MOST_MESSAGE);
+  }
+
+  @Override
+  public XnioLoop loop() {
+    return loop;
+  }
+
+  @Override
+  public Caller caller(Endpoint to, String type, int maxOpen, int maxBody) {
+    return new HttpCaller(loop, buffers, to, type, maxOpen, maxBody);
+  }
+
+  @Override
+  public void listen(Front front) {
+    Endpoint users = settings.listen();
+    Endpoint peers = settings.peerListen();
+    server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .addHttpListener(users.port(), users.host(), x -> request(x, front))
+            .addHttpListener(
+                peers.port(),
+                peers.host(),
+                x -> messages.read(x, (e, body) -> front.message(new HttpIncoming(e, body))))
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Intake.MOST_MESSAGE)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+            // Workers and users; an eighth is for direct orders, the rest for the outside parties.
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, settings.maxSockets() * 13 / 16)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, settings.maxSockets() * 13 / 16 - 10)
+            .build();
+    server.start();
+  }
+
+  private void request(HttpServerExchange x, Front front) {
+    if (x.getRequestMethod().equals(Methods.GET)) {
+      Intake.async(x, () -> front.request(new HttpIncoming(x, new byte[0])));
+      return;
+    }
+    Intake intake = x.getRequestPath().equals(REPORT) ? reports : others;
+    intake.read(x, (e, body) -> front.request(new HttpIncoming(e, body)));
+  }
+
+  @Override
+  public long bytes() {
+    return reports.bytes() + others.bytes() + messages.bytes();
+  }
+
+  /** The listeners in the order in which they were added; a port 0 in the settings is any port. */
+  @Override
+  public String bound(int listener) {
+    InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(listener).getAddress();
+    return a.getHostString() + ":" + a.getPort();
+  }
+
+  @Override
+  public Thread thread() {
+    return loop.thread();
+  }
+
+  @Override
+  public void stop() {
+    if (server != null) {
+      server.stop();
+    }
+    worker.shutdown();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/peer/Forwarding.java
@@ -0,0 +1,290 @@
+package org.mallowroad.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.config.Settings.Member;
+import org.mallowroad.core.links.Links;
+import org.mallowroad.core.links.Outside;
+import org.mallowroad.core.links.Row;
+import org.mallowroad.net.Caller;
+import org.mallowroad.net.Host;
+import org.mallowroad.net.Incoming;
+import org.mallowroad.net.Loop;
+import org.mallowroad.wire.BadMessage;
+
+/**
+ * What goes round cuts, by way of the other controllers: rows about links, calls to outside
+ * parties, workers' reports, orders to workers. Each kind has connections of its own, so that one
+ * that hangs holds up none of the others, and each is bounded: what is beyond the bound was
+ * certainly not sent.
+ */
+public final class Forwarding implements Detour.Ways {
+  private static final String ROW = "/row";
+  private static final String FORWARD = "/forward";
+  private static final String CARRY = "/carry";
+  private static final String WORKER = "worker";
+  private static final long ROW_TIMEOUT_MS = 1_500;
+  private static final long CARRY_TIMEOUT_MS = 3_000;
+  private static final long ORDERS_TIMEOUT_MS = 4_000;
+
+  /** What a peer is given beyond the call's own time, to say that there was no answer. */
+  private static final long GRACE_MS = 300;
+
+  private static final int MOST_CALLS = 48;
+  private static final int MOST_CARRIED = 96;
+
+  /** The largest answer of the state service, with room. */
+  private static final int MOST_ANSWER = 640 * 1024;
+
+  private static final byte[] NOTHING = new byte[0];
+
+  private final Loop loop;
+  private final Links links;
+  private final Listener listener;
+  private final List<Caller> rows = new ArrayList<>();
+  private final List<Caller> calls = new ArrayList<>();
+  private final List<Caller> reports = new ArrayList<>();
+  private final boolean[] rowOut;
+  private LinkCodec codec;
+  private int serving;
+
+  /** What the node does with its peers' messages. */
+  public interface Listener {
+    /** A peer's row. */
+    void row(Row row);
+
+    /** Sends a peer's call on, by this node's own direct way only: so detours make no loops. */
+    void forward(
+        Outside to, String method, String path, byte[] body, long timeoutMs, Caller.Answer answer);
+
+    /** Sends a peer's orders to a worker. */
+    void orders(String address, byte[] body, Caller.Answer answer);
+
+    /** A report that came to a peer; the answer is what the worker is to get. */
+    void carried(int peer, byte[] report, Caller.Answer answer);
+  }
+
+  /** Over the members, whose order gives them their indices. */
+  public Forwarding(Host host, List<Member> members, Links links, Listener listener) {
+    this.loop = host.loop();
+    this.links = links;
+    this.listener = listener;
+    this.rowOut = new boolean[members.size()];
+    for (Member m : members) {
+      rows.add(host.caller(m.endpoint(), Peers.AVRO, 2, 1024));
+      calls.add(host.caller(m.endpoint(), Peers.AVRO, MOST_CALLS, MOST_ANSWER));
+      reports.add(host.caller(m.endpoint(), Peers.AVRO, MOST_CARRIED, 128 * 1024));
+    }
+  }
+
+  /** Made on first use: a start on a fraction of a core must not pay for Avro's classes. */
+  private LinkCodec codec() {
+    if (codec == null) {
+      codec = new LinkCodec();
+    }
+    return codec;
+  }
+
+  /** Tells all peers this node's row; one that has not answered the last one is left out. */
+  public void tell(Row row) {
+    byte[] message = codec().encode(row);
+    for (int p = 0; p < rows.size(); p++) {
+      if (!rowOut[p]) {
+        rowOut[p] = true;
+        int peer = p;
+        long sentMs = loop.now();
+        rows.get(p)
+            .call(
+                "POST",
+                ROW,
+                message,
+                ROW_TIMEOUT_MS,
+                new Caller.Answer() {
+                  @Override
+                  public void answered(int status, byte[] body) {
+                    rowOut[peer] = false;
+                    links.usedPeer(peer, true, sentMs, loop.now());
+                  }
+
+                  @Override
+                  public void failed(boolean sent) {
+                    rowOut[peer] = false;
+                    links.usedPeer(peer, false, sentMs, loop.now());
+                  }
+                });
+      }
+    }
+  }
+
+  @Override
+  public void forward(
+      int peer,
+      Outside party,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Caller.Answer answer) {
+    send(peer, party.name(), method, path, body, timeoutMs, answer);
+  }
+
+  /** Sends orders to a worker by way of a peer. */
+  public void orders(int peer, String address, byte[] body, Caller.Answer answer) {
+    send(peer, WORKER, "POST", address, body, ORDERS_TIMEOUT_MS, answer);
+  }
+
+  private void send(
+      int peer,
+      String to,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Caller.Answer answer) {
+    byte[] message =
+        codec()
+            .encode(
+                new LinkCodec.Forward(to, method, path, body == null ? NOTHING : body, timeoutMs));
+    long sentMs = loop.now();
+    calls
+        .get(peer)
+        .call(
+            "POST",
+            FORWARD,
+            message,
+            timeoutMs + GRACE_MS,
+            new Caller.Answer() {
+              @Override
+              public void answered(int status, byte[] bytes) {
+                links.usedPeer(peer, true, sentMs, loop.now());
+                LinkCodec.Forwarded f;
+                try {
+                  if (status != 200) {
+                    // An earlier build, or a peer that serves too many already: it did nothing.
+                    answer.failed(false);
+                    return;
+                  }
+                  f = codec().forwarded(bytes);
+                } catch (BadMessage e) {
+                  answer.failed(true);
+                  return;
+                }
+                if (f.outcome() == LinkCodec.ANSWERED) {
+                  answer.answered(f.status(), f.body());
+                } else {
+                  answer.failed(f.outcome() != LinkCodec.NOT_SENT);
+                }
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                // Unsent may mean that too many calls are out already; rows judge that link.
+                if (sent) {
+                  links.usedPeer(peer, false, sentMs, loop.now());
+                }
+                answer.failed(sent);
+              }
+            });
+  }
+
+  /** Takes a worker's report to a peer that leads; the answer is what the worker is to get. */
+  public void carry(int peer, String self, byte[] report, Caller.Answer answer) {
+    long sentMs = loop.now();
+    reports
+        .get(peer)
+        .call(
+            "POST",
+            CARRY,
+            codec().encode(new LinkCodec.Carry(self, report)),
+            CARRY_TIMEOUT_MS,
+            new Caller.Answer() {
+              @Override
+              public void answered(int status, byte[] body) {
+                links.usedPeer(peer, true, sentMs, loop.now());
+                try {
+                  if (status == 200) {
+                    LinkCodec.Forwarded f = codec().forwarded(body);
+                    if (f.outcome() == LinkCodec.ANSWERED) {
+                      answer.answered(f.status(), f.body());
+                      return;
+                    }
+                  }
+                } catch (BadMessage e) {
+                  // Counts as no answer.
+                }
+                answer.failed(true);
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                if (sent) {
+                  links.usedPeer(peer, false, sentMs, loop.now());
+                }
+                answer.failed(sent);
+              }
+            });
+  }
+
+  /** Takes a peer's message; false when it is of no kind that is known here. */
+  boolean message(Incoming x) throws BadMessage {
+    switch (x.path()) {
+      case ROW -> {
+        listener.row(codec().row(x.body()));
+        x.answer(204, Peers.AVRO, NOTHING, false);
+      }
+      case FORWARD -> {
+        LinkCodec.Forward f = codec().forward(x.body());
+        if (serving >= MOST_CALLS) {
+          x.answer(503, Peers.AVRO, NOTHING, true);
+          return true;
+        }
+        serving++;
+        Caller.Answer back = back(x, () -> serving--);
+        if (f.to().equals(WORKER)) {
+          listener.orders(f.path(), f.body(), back);
+        } else {
+          Outside to = party(f.to());
+          byte[] body = f.body().length == 0 ? null : f.body();
+          listener.forward(to, f.method(), f.path(), body, f.timeoutMs(), back);
+        }
+      }
+      case CARRY -> {
+        LinkCodec.Carry c = codec().carry(x.body());
+        listener.carried(links.peer(c.from()), c.report(), back(x, () -> {}));
+      }
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static Outside party(String name) throws BadMessage {
+    for (Outside o : Outside.values()) {
+      if (o.name().equals(name)) {
+        return o;
+      }
+    }
+    throw new BadMessage("no such party");
+  }
+
+  private Caller.Answer back(Incoming x, Runnable first) {
+    return new Caller.Answer() {
+      @Override
+      public void answered(int status, byte[] body) {
+        say(LinkCodec.ANSWERED, status, body);
+      }
+
+      @Override
+      public void failed(boolean sent) {
+        say(sent ? LinkCodec.UNKNOWN : LinkCodec.NOT_SENT, 0, NOTHING);
+      }
+
+      private void say(int outcome, int status, byte[] body) {
+        first.run();
+        x.answer(
+            200, Peers.AVRO, codec().encode(new LinkCodec.Forwarded(outcome, status, body)), false);
+      }
+    };
+  }
+}
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -1,17 +1,13 @@
 package org.mallowroad.peer;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.mallowroad.api.Answerer;
 import org.mallowroad.config.Settings.Member;
-import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Caller;
+import org.mallowroad.net.Host;
+import org.mallowroad.net.Incoming;
 import org.mallowroad.net.Loop;
 import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
@@ -24,7 +20,10 @@
  * the state service yields at once; and a node cut from the state service passes users' requests
  * on. Nothing here decides anything: a lost message costs time, never a rule.
  */
-public final class Peers implements HttpHandler {
+public final class Peers {
+  /** Form of all messages between controllers. */
+  static final String AVRO = "avro/binary";
+
   private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
   private static final String ANNOUNCE = "/announce";
   private static final String RELAY = "/relay";
@@ -33,8 +32,9 @@
   private final Loop loop;
   private final Seldom garbled = Seldom.usual();
   private PeerCodec codec;
-  private final List<HttpCaller> callers = new ArrayList<>();
+  private final List<Caller> callers = new ArrayList<>();
   private final Listener listener;
+  private Forwarding forwarding;
   private int next;
   private long wrong;
 
@@ -48,14 +48,19 @@
   }
 
   /** Over the members. */
-  public Peers(Loop loop, ByteBufferPool buffers, List<Member> members, Listener listener) {
-    this.loop = loop;
+  public Peers(Host host, List<Member> members, Listener listener) {
+    this.loop = host.loop();
     this.listener = listener;
     for (Member m : members) {
-      callers.add(new HttpCaller(loop, buffers, m.endpoint(), "avro/binary", 16, 128 * 1024));
+      callers.add(host.caller(m.endpoint(), AVRO, 16, 128 * 1024));
     }
   }
 
+  /** Takes what goes round cuts as well. */
+  public void forwarding(Forwarding f) {
+    forwarding = f;
+  }
+
   /** Made on first use: a start on a fraction of a core must not pay for Avro's classes. */
   private PeerCodec codec() {
     if (codec == null) {
@@ -72,18 +77,18 @@
   /** Tells all peers who leads. */
   public void announce(String node, long term) {
     byte[] message = codec().encode(new PeerCodec.Announce(node, term));
-    for (HttpCaller c : callers) {
+    for (Caller c : callers) {
       announce(c, message, 3);
     }
   }
 
-  private void announce(HttpCaller c, byte[] message, int tries) {
+  private void announce(Caller c, byte[] message, int tries) {
     c.call(
-        Methods.POST,
+        "POST",
         ANNOUNCE,
         message,
         TIMEOUT_MS,
-        new HttpCaller.Answer() {
+        new Caller.Answer() {
           @Override
           public void answered(int status, byte[] body) {}
 
@@ -109,11 +114,11 @@
     callers
         .get(Math.floorMod(next, callers.size()))
         .call(
-            Methods.POST,
+            "POST",
             RELAY,
             message,
             TIMEOUT_MS,
-            new HttpCaller.Answer() {
+            new Caller.Answer() {
               @Override
               public void answered(int status, byte[] bytes) {
                 try {
@@ -140,32 +145,23 @@
             });
   }
 
-  @Override
-  public void handleRequest(HttpServerExchange x) {
-    x.getRequestReceiver()
-        .receiveFullBytes(
-            (e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> handle(e, bytes)));
-  }
-
-  private void handle(HttpServerExchange x, byte[] bytes) {
+  /** Takes a peer's message. */
+  public void message(Incoming x) {
     try {
-      if (x.getRequestPath().equals(ANNOUNCE)) {
-        PeerCodec.Announce a = codec().announce(bytes);
+      if (x.path().equals(ANNOUNCE)) {
+        PeerCodec.Announce a = codec().announce(x.body());
         listener.announced(a.node(), a.term());
-        x.setStatusCode(204);
-        x.endExchange();
-      } else if (x.getRequestPath().equals(RELAY)) {
-        PeerCodec.Relay r = codec().relay(bytes);
+        x.answer(204, AVRO, new byte[0], false);
+      } else if (x.path().equals(RELAY)) {
+        PeerCodec.Relay r = codec().relay(x.body());
         listener.relayed(
             r.method(), r.path(), r.body(), (status, body, later) -> answer(x, status, body));
-      } else {
-        x.setStatusCode(404);
-        x.endExchange();
+      } else if (forwarding == null || !forwarding.message(x)) {
+        x.answer(404, AVRO, new byte[0], false);
       }
     } catch (BadMessage e) {
       garbled(e);
-      x.setStatusCode(400);
-      x.endExchange();
+      x.answer(400, AVRO, new byte[0], false);
     }
   }
 
@@ -177,10 +173,7 @@
     }
   }
 
-  private void answer(HttpServerExchange x, int status, ObjectNode body) {
-    if (!x.isResponseStarted()) {
-      byte[] b = codec().encode(new PeerCodec.Relayed(status, Json.bytes(body)));
-      x.getResponseSender().send(ByteBuffer.wrap(b));
-    }
+  private void answer(Incoming x, int status, ObjectNode body) {
+    x.answer(200, AVRO, codec().encode(new PeerCodec.Relayed(status, Json.bytes(body))), false);
   }
 }
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -3,13 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Caller;
 import org.mallowroad.net.Loop;
 import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
@@ -25,8 +23,8 @@
 
   private final Loop loop;
   private final Seldom garbled = Seldom.usual();
-  private final HttpCaller caller;
-  private final HttpCaller follower;
+  private final Caller caller;
+  private final Caller follower;
   private long contactMs = Long.MIN_VALUE / 2;
   private long servedMs = Long.MIN_VALUE / 2;
   private long failedMs = Long.MIN_VALUE / 2;
@@ -79,7 +77,7 @@
   }
 
   /** Over callers for ordinary calls and for watches, so that watches never hold up others. */
-  public StateStore(Loop loop, HttpCaller caller, HttpCaller follower) {
+  public StateStore(Loop loop, Caller caller, Caller follower) {
     this.loop = loop;
     this.caller = caller;
     this.follower = follower;
@@ -111,7 +109,7 @@
   /** Reads a key. */
   public void get(String key, Got got) {
     caller.call(
-        Methods.GET,
+        "GET",
         "/kv/" + key,
         null,
         TIMEOUT_MS,
@@ -151,7 +149,7 @@
     String path =
         "/kv?under=" + enc(prefix) + (from == null ? "" : "&from=" + enc(from)) + "&limit=1000";
     caller.call(
-        Methods.GET,
+        "GET",
         path,
         null,
         2 * TIMEOUT_MS,
@@ -196,7 +194,7 @@
   /** Runs a transaction. */
   public void run(Txn txn, Ended ended) {
     caller.call(
-        Methods.POST,
+        "POST",
         "/multi",
         Json.bytes(txn.json()),
         TIMEOUT_MS,
@@ -230,20 +228,20 @@
   public void lease(long lifeMs, Leased leased) {
     ObjectNode o = Json.object();
     o.put(Fields.LIFE_MS, lifeMs);
-    lease(Methods.POST, "/leases", Json.bytes(o), TIMEOUT_MS, leased);
+    lease("POST", "/leases", Json.bytes(o), TIMEOUT_MS, leased);
   }
 
   /** Renews a lease; NO means it is over. */
   public void extend(long lease, long timeoutMs, Leased leased) {
-    lease(Methods.POST, "/leases/" + lease + "/extend", new byte[] {'{', '}'}, timeoutMs, leased);
+    lease("POST", "/leases/" + lease + "/extend", new byte[] {'{', '}'}, timeoutMs, leased);
   }
 
   /** Ends a lease at once; without an answer it runs out by itself. */
   public void release(long lease) {
-    lease(Methods.DELETE, "/leases/" + lease, null, TIMEOUT_MS, (result, id) -> {});
+    lease("DELETE", "/leases/" + lease, null, TIMEOUT_MS, (result, id) -> {});
   }
 
-  private void lease(HttpString method, String path, byte[] body, long timeoutMs, Leased leased) {
+  private void lease(String method, String path, byte[] body, long timeoutMs, Leased leased) {
     caller.call(
         method,
         path,
@@ -269,7 +267,7 @@
   /** Waits for changes of keys with a prefix after a revision. */
   public void follow(String prefix, long from, long waitMs, Followed followed) {
     follower.call(
-        Methods.GET,
+        "GET",
         "/follow?under=" + enc(prefix) + "&from=" + from + "&block_ms=" + waitMs,
         null,
         waitMs + 2 * TIMEOUT_MS,
@@ -305,7 +303,7 @@
   }
 
   /** Parses the body; what cannot be understood counts as no answer. */
-  private abstract class Parsed implements HttpCaller.Answer {
+  private abstract class Parsed implements Caller.Answer {
     private final long sentMs = loop.now();
 
     abstract void ok(int status, ObjectNode o) throws BadMessage;
--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -1,10 +1,10 @@
 package org.mallowroad.worker;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.server.HttpServerExchange;
 import java.util.function.Consumer;
 import org.mallowroad.api.Reply;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.net.Incoming;
 import org.mallowroad.net.Loop;
 import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
@@ -34,6 +34,9 @@
     /** The leader's name, or null. */
     String leader();
 
+    /** Carries a report to the leader by way of this node; false: its worker is sent on. */
+    boolean carry(Incoming x, WorkerReport r, String leader);
+
     /** Answers a report; null means not now. */
     void report(WorkerReport r, Consumer<ObjectNode> reply);
   }
@@ -50,10 +53,10 @@
   }
 
   /** POST /v1/report. */
-  public void report(HttpServerExchange x, byte[] body) {
+  public void report(Incoming x) {
     WorkerReport r;
     try {
-      r = WorkerCodec.decode(Json.parseObject(body));
+      r = WorkerCodec.decode(Json.parseObject(x.body()));
     } catch (BadMessage e) {
       wrong++;
       long left = garbled.line(loop.now());
@@ -70,7 +73,10 @@
     if (!reports.leading()) {
       String leader = reports.leader();
       if (leader == null) {
-        Reply.later(x, "no leader known");
+        notNow(x, "no leader known");
+        return;
+      }
+      if (reports.carry(x, r, leader)) {
         return;
       }
       ObjectNode o = Json.object();
@@ -82,10 +88,15 @@
         r,
         orders -> {
           if (orders == null) {
-            Reply.later(x, "not now");
+            notNow(x, "not now");
           } else {
             Reply.json(x, 200, orders);
           }
         });
   }
+
+  /** Turns a worker away without a hint where to go. */
+  public static void notNow(Incoming x, String reason) {
+    Reply.later(x, reason);
+  }
 }
--- a/src/main/java/org/mallowroad/worker/WorkerClient.java
+++ b/src/main/java/org/mallowroad/worker/WorkerClient.java
@@ -1,13 +1,12 @@
 package org.mallowroad.worker;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.Methods;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import org.mallowroad.config.Settings.Endpoint;
 import org.mallowroad.core.WorkerReport;
-import org.mallowroad.net.HttpCaller;
+import org.mallowroad.net.Caller;
+import org.mallowroad.net.Host;
 import org.mallowroad.net.Loop;
 import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
@@ -19,6 +18,7 @@
 /** Sends orders straight to workers, at most one message a worker at a time. */
 public final class WorkerClient {
   private static final Logger LOG = LoggerFactory.getLogger(WorkerClient.class);
+  private static final String ORDERS = "/orders";
   private static final long TIMEOUT_MS = 4_000;
 
   /** A report fits into a request body of the protocol. */
@@ -26,9 +26,10 @@
 
   private final Loop loop;
   private final Seldom odd = Seldom.usual();
-  private final ByteBufferPool buffers;
+  private final Host host;
+  private Bypass bypass;
   private final int maxWorkers;
-  private final Object2ObjectLinkedOpenHashMap<String, HttpCaller> callers =
+  private final Object2ObjectLinkedOpenHashMap<String, Caller> callers =
       new Object2ObjectLinkedOpenHashMap<>();
   private final ObjectOpenHashSet<String> busy = new ObjectOpenHashSet<>();
 
@@ -49,10 +50,10 @@
   }
 
   /** Over the loop, with connections kept to at most {@code maxWorkers} workers. */
-  public WorkerClient(Loop loop, ByteBufferPool buffers, int maxWorkers) {
+  public WorkerClient(Host host, int maxWorkers) {
     this.maxWorkers = maxWorkers;
-    this.loop = loop;
-    this.buffers = buffers;
+    this.loop = host.loop();
+    this.host = host;
   }
 
   /** True while a message to the worker is on its way. */
@@ -65,61 +66,101 @@
     return callers.size();
   }
 
-  /** Sends a message. */
-  public void send(String address, ObjectNode message, Sent sent) {
-    HttpCaller caller = callers.getAndMoveToLast(address);
+  /** Orders go this way to workers that this node does not reach itself. */
+  public void bypass(Bypass way) {
+    bypass = way;
+  }
+
+  /** Another way to workers: through a peer. */
+  @FunctionalInterface
+  public interface Bypass {
+    /** Sends orders to a worker by way of a peer. */
+    void orders(int peer, String address, byte[] body, Caller.Answer answer);
+  }
+
+  /** The kept connections to a worker, or null when that is no address. */
+  private Caller caller(String address) {
+    Caller caller = callers.getAndMoveToLast(address);
     if (caller == null) {
       int colon = address.lastIndexOf(':');
       int port;
       try {
         port = Integer.parseInt(address.substring(colon + 1));
       } catch (NumberFormatException e) {
-        sent.sent(Result.NOT_SENT, null);
-        return;
+        return null;
       }
       Endpoint to = new Endpoint(address.substring(0, Math.max(0, colon)), port);
-      caller = new HttpCaller(loop, buffers, to, "application/json", 2, MOST_BYTES);
+      caller = host.caller(to, "application/json", 2, MOST_BYTES);
       callers.put(address, caller);
       if (callers.size() > maxWorkers) {
         callers.removeFirst().close();
       }
     }
+    return caller;
+  }
+
+  /** Passes a peer's orders on as they are. */
+  public void pass(String address, byte[] body, Caller.Answer answer) {
+    Caller caller = caller(address);
+    if (caller == null) {
+      answer.failed(false);
+    } else {
+      caller.call("POST", ORDERS, body, TIMEOUT_MS, answer);
+    }
+  }
+
+  /**
+   * Sends a message.
+   *
+   * @param via the peer that its report came through, or -1: orders go the way the reports come
+   */
+  public void send(String address, int via, ObjectNode message, Sent sent) {
+    Caller.Answer answer = answer(address, sent);
+    if (via >= 0 && bypass != null) {
+      busy.add(address);
+      bypass.orders(via, address, Json.bytes(message), answer);
+      return;
+    }
+    Caller caller = caller(address);
+    if (caller == null) {
+      sent.sent(Result.NOT_SENT, null);
+      return;
+    }
     busy.add(address);
-    caller.call(
-        Methods.POST,
-        "/orders",
-        Json.bytes(message),
-        TIMEOUT_MS,
-        new HttpCaller.Answer() {
-          @Override
-          public void answered(int status, byte[] body) {
-            busy.remove(address);
-            if (status != 200 && status != 409) {
-              long left = odd.line(loop.now());
-              if (left >= 0) {
-                LOG.warn(
-                    "event=orders_refused address={} status={} left_out={}", address, status, left);
-              }
-              sent.sent(status == 400 ? Result.ANSWERED : Result.UNKNOWN, null);
-              return;
-            }
-            WorkerReport r = null;
-            try {
-              r = WorkerCodec.decode(Json.parseObject(body));
-            } catch (BadMessage e) {
-              long left = odd.line(loop.now());
-              if (left >= 0) {
-                LOG.warn("event=report_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
-              }
-            }
-            sent.sent(Result.ANSWERED, r);
-          }
+    caller.call("POST", ORDERS, Json.bytes(message), TIMEOUT_MS, answer);
+  }
 
-          @Override
-          public void failed(boolean wasSent) {
-            busy.remove(address);
-            sent.sent(wasSent ? Result.UNKNOWN : Result.NOT_SENT, null);
+  private Caller.Answer answer(String address, Sent sent) {
+    return new Caller.Answer() {
+      @Override
+      public void answered(int status, byte[] body) {
+        busy.remove(address);
+        if (status != 200 && status != 409) {
+          long left = odd.line(loop.now());
+          if (left >= 0) {
+            LOG.warn(
+                "event=orders_refused address={} status={} left_out={}", address, status, left);
           }
-        });
+          sent.sent(status == 400 ? Result.ANSWERED : Result.UNKNOWN, null);
+          return;
+        }
+        WorkerReport r = null;
+        try {
+          r = WorkerCodec.decode(Json.parseObject(body));
+        } catch (BadMessage e) {
+          long left = odd.line(loop.now());
+          if (left >= 0) {
+            LOG.warn("event=report_garbled reason=\"{}\" left_out={}", e.getMessage(), left);
+          }
+        }
+        sent.sent(Result.ANSWERED, r);
+      }
+
+      @Override
+      public void failed(boolean wasSent) {
+        busy.remove(address);
+        sent.sent(wasSent ? Result.UNKNOWN : Result.NOT_SENT, null);
+      }
+    };
   }
 }
--- a/src/test/java/org/mallowroad/controller/ConsoleTest.java
+++ b/src/test/java/org/mallowroad/controller/ConsoleTest.java
@@ -12,7 +12,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -72,10 +71,7 @@
     ConsoleSettings c = new ConsoleSettings(new Endpoint("127.0.0.1", 0), 1_000, 100, 10);
     List<String> consoles = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
-      Node n =
-          new Node(
-              new Site(
-                  site.node(i, 3), new OperatorSettings(d.fleet(), d.health(), Optional.of(c))));
+      Node n = new Node(new Site(site.node(i, 3), d.with(c)));
       n.start();
       nodes.put("n" + i, n);
       controllers.add(n.address());
@@ -257,9 +253,7 @@
     Endpoint taken = Endpoint.of(nodes.get("n0").consoleAddress());
     OperatorSettings d = OperatorSettings.defaults();
     ConsoleSettings c = new ConsoleSettings(taken, 1_000, 100, 10);
-    Node n =
-        new Node(
-            new Site(site.node(3, 3), new OperatorSettings(d.fleet(), d.health(), Optional.of(c))));
+    Node n = new Node(new Site(site.node(3, 3), d.with(c)));
     try {
       n.start();
       HttpResponse<String> r =
--- a/src/test/java/org/mallowroad/controller/KeptTest.java
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.server.DefaultByteBufferPool;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -24,13 +23,9 @@
 import org.mallowroad.core.Placement;
 import org.mallowroad.core.Specs;
 import org.mallowroad.core.WorkerReport;
-import org.mallowroad.net.Loop;
+import org.mallowroad.net.XnioHost;
 import org.mallowroad.wire.Json;
 import org.mallowroad.worker.WorkerClient;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /**
  * Many days of jobs, machines and connections in virtual time: what a process keeps must depend on
@@ -208,24 +203,21 @@
 
   @Test
   void connectionsToWorkersThatAreGoneAreNotKept() throws Exception {
-    XnioWorker worker =
-        Xnio.getInstance()
-            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    XnioHost host = new XnioHost(site.settings());
     try {
-      Loop loop = new Loop(worker.getIoThread());
-      WorkerClient client =
-          new WorkerClient(loop, new DefaultByteBufferPool(false, 16 * 1024, 4, 0), 50);
+      WorkerClient client = new WorkerClient(host, 50);
       CompletableFuture<Integer> kept = new CompletableFuture<>();
-      loop.soon(
-          () -> {
-            for (int port = 1; port <= 1_000; port++) {
-              client.send("127.0.0.1:" + port, Json.object(), (result, report) -> {});
-            }
-            kept.complete(client.kept());
-          });
+      host.loop()
+          .soon(
+              () -> {
+                for (int port = 1; port <= 1_000; port++) {
+                  client.send("127.0.0.1:" + port, -1, Json.object(), (result, report) -> {});
+                }
+                kept.complete(client.kept());
+              });
       assertEquals(50, kept.get(20, TimeUnit.SECONDS));
     } finally {
-      worker.shutdownNow();
+      host.stop();
     }
   }
 }
--- a/src/test/java/org/mallowroad/core/health/HealthTest.java
+++ b/src/test/java/org/mallowroad/core/health/HealthTest.java
@@ -135,7 +135,7 @@
             w -> {
               w.pass(20_000, 0, 0);
               w.pass(20_000, 0, 20);
-              assertTrue(w.health.silence().deaf());
+              assertTrue(w.health.silence().deaf(w.now));
               assertEquals(0, w.health.silence().cuts());
             }),
         rule(
