Users without the state service are passed on in one hop; who is served is logged by class and team

A node whose own link to the state service is down passes users to the peer that has it, or answers 503 at once; one that hears no peer either fails healthz. A node that others serve better lets them stand for office first. event=served: done, late and open jobs by class and team, once a minute.

--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -19,6 +19,7 @@
 import org.mallowroad.core.MachineType;
 import org.mallowroad.core.Order;
 import org.mallowroad.core.Placement;
+import org.mallowroad.core.Served;
 import org.mallowroad.core.Spending;
 import org.mallowroad.core.WorkerReport;
 import org.mallowroad.core.health.Health;
@@ -50,6 +51,7 @@
   private static final long WATCH_MS = 10_000;
   private static final long TICK_MS = 250;
   private static final long LOAD_MS = 10_000;
+  private static final long SERVED_MS = 60_000;
   private static final int FEW_MACHINES = 8;
 
   /** A worker's way round: a report without an answer, the pause, and the same once more. */
@@ -87,6 +89,7 @@
   private long passNs;
   private final List<Runnable> afterPass = new ArrayList<>();
   private final Load load = new Load();
+  private final Served served;
 
   Leader(
       Loop loop,
@@ -106,6 +109,7 @@
     this.term = term;
     this.onEnd = onEnd;
     this.peersNear = peersNear;
+    this.served = new Served(site.classes, site.teams());
     this.workers = workers;
     this.startedMs = loop.now();
     this.heardMs = startedMs;
@@ -169,6 +173,7 @@
                       job.tries(),
                       job.spec.cpus(),
                       job.spec.estimateS());
+                  served.done(job);
                   onEnd.accept(job);
                 }
               }
@@ -438,6 +443,7 @@
     load.tickedMs = loop.now();
     duties.add(loop.every(TICK_MS, this::tick));
     duties.add(loop.every(LOAD_MS, load::log));
+    duties.add(loop.every(SERVED_MS, this::tellServed));
   }
 
   private void restoreRun(Job job, Item i) {
@@ -734,6 +740,20 @@
     return Math.round(money * 1000) / 1000.0;
   }
 
+  private void tellServed() {
+    for (Served.Line l : served.lines(ledger.jobs(), loop.now())) {
+      LOG.info(
+          "event=served {}={} share={} done={} late={} open={} oldest_s={}",
+          l.kind(),
+          l.name(),
+          Math.round(l.share() * 1000) / 1000.0,
+          l.done(),
+          l.late(),
+          l.open(),
+          l.oldestMs() / 1000);
+    }
+  }
+
   /** What the office does, for the log: how near the machine is to its limit. */
   private final class Load {
     private long tickedMs;
--- a/src/main/java/org/mallowroad/controller/LinkDuties.java
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -55,6 +55,15 @@
   /** After a start on a fraction of a core other things come first. */
   private static final long FIRST_ROW_MS = 2_000;
 
+  /** Before that a failure may be a moment's. */
+  private static final long ISOLATED_MS = 3_000;
+
+  /** A node that others serve better than lets them go first for so long, for each reason. */
+  private static final long HANDICAP_MS = 300;
+
+  /** What a leader learnt of its link to the workers holds for so long after. */
+  private static final long REMEMBER_MS = 30_000;
+
   /** Reports that are being carried at once; more are turned away. */
   private static final int MOST_CARRYING = 192;
 
@@ -74,6 +83,8 @@
   private Office office;
   private int carrying;
   private boolean probing;
+  private long directMs = Long.MIN_VALUE / 2;
+  private long carriedMs = Long.MIN_VALUE / 2;
 
   /** The node that has these duties. */
   interface Office {
@@ -145,6 +156,28 @@
     loop.after(FIRST_ROW_MS, () -> loop.every(policy.rowMs(), this::tell));
   }
 
+  /** Calls of this node that were done by way of a peer. */
+  long detours() {
+    return state.detours() + cloud.detours();
+  }
+
+  /**
+   * True when this node reaches neither the state service nor any peer: others that do serve users
+   * better. While peers are heard it passes users on to them, and in an outage they say so.
+   */
+  boolean isolated() {
+    long now = loop.now();
+    return state.astray()
+        && links.freshRows(now) == 0
+        && now - links.sinceMs(Outside.STATE) > ISOLATED_MS;
+  }
+
+  /** How long this node lets others go first when a leader is sought. */
+  long handicapMs() {
+    boolean noWorkers = carriedMs - directMs > IDLE_MS && loop.now() - carriedMs < REMEMBER_MS;
+    return (state.astray() ? HANDICAP_MS : 0) + (noWorkers ? HANDICAP_MS : 0);
+  }
+
   private void tell() {
     forwarding.tell(links.own(election.seenTerm(), office.leading(), loop.now()));
   }
@@ -205,6 +238,11 @@
 
   /** A report that came to this node, which leads. */
   void heard(WorkerReport r, boolean direct) {
+    if (direct) {
+      directMs = loop.now();
+    } else {
+      carriedMs = loop.now();
+    }
     links.heard(site.zones.find(r.zone()), direct, loop.now());
   }
 
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -25,6 +25,8 @@
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.health.Health;
+import org.mallowroad.core.links.Outside;
+import org.mallowroad.core.links.Route;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.Caller;
@@ -111,7 +113,14 @@
             new NodeJobs(),
             s.valueKb(),
             (int) (s.ramMb() * ENDS_PER_MB));
-    this.election = new Election(loop, state, s.node(), s.node().hashCode(), new Office());
+    this.election =
+        new Election(
+            loop,
+            state,
+            s.node(),
+            s.node().hashCode(),
+            () -> links == null ? 0 : links.handicapMs(),
+            new Office());
     this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(host, s.members(), new NodePeers());
     // Not even its classes are loaded where it is off.
@@ -251,6 +260,15 @@
   private void serve(String method, String path, byte[] body, Answerer answerer) {
     if (site.settings().members().isEmpty()) {
       users.serve(method, path, body, answerer);
+    } else if (links != null && links.stateRoute().astray()) {
+      // One hop to a peer that has the state service; with none at hand nobody waits to hear it.
+      Runnable none = () -> answerer.answer(503, Reply.reason("state service not reached"), true);
+      int peer = links.stateRoute().choose(loop.now());
+      if (peer == Route.DIRECT) {
+        none.run();
+      } else {
+        peers.relayTo(peer, method, path, body, answerer, none);
+      }
     } else if (state.failing()) {
       peers.relay(
           method,
@@ -274,8 +292,9 @@
     }
   }
 
+  /** A node that is cut off from the state service and from all who have it sends users away. */
   private boolean healthy() {
-    return !site.machineTypes().isEmpty();
+    return !site.machineTypes().isEmpty() && (links == null || !links.isolated());
   }
 
   private String metrics() {
@@ -302,6 +321,18 @@
       gauge("mallowroad.stood.still.longest.ms", n -> n.watched(h -> h.still().longestMs()));
       gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
+      if (links != null) {
+        gauge("mallowroad.links.down", n -> n.links.links().downCount());
+        gauge("mallowroad.links.rows", n -> n.links.links().freshRows(n.loop.now()));
+        gauge("mallowroad.links.state.via", n -> n.links.stateRoute().via());
+        gauge(
+            "mallowroad.links.state.age.ms",
+            n -> n.links.links().ageMs(Outside.STATE, n.loop.now()));
+        gauge("mallowroad.detours", n -> n.links.detours());
+        gauge("mallowroad.reports.carried", n -> n.links.carriage().carried());
+        gauge("mallowroad.reports.sent.on", n -> n.links.carriage().sentOn());
+        gauge("mallowroad.kept.guests", n -> n.links.carriage().size());
+      }
       gauge("mallowroad.garbled.state", n -> n.state.wrong());
       gauge("mallowroad.garbled.cloud", n -> n.cloud.wrong());
       gauge("mallowroad.garbled.peers", n -> n.peers.wrong());
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
 import org.mallowroad.net.Loop;
 import org.mallowroad.state.StateStore;
 import org.mallowroad.state.StateStore.Result;
@@ -36,6 +37,7 @@
   private final String node;
   private final Listener listener;
   private final SplittableRandom random;
+  private final LongSupplier handicapMs;
 
   private String leader;
   private long leaderTerm;
@@ -59,8 +61,19 @@
     void deposed();
   }
 
-  /** An election among the nodes that share a state service. */
-  public Election(Loop loop, StateStore state, String node, long seed, Listener listener) {
+  /**
+   * An election among the nodes that share a state service.
+   *
+   * @param handicapMs how long this node lets others go first, since they would serve better
+   */
+  public Election(
+      Loop loop,
+      StateStore state,
+      String node,
+      long seed,
+      LongSupplier handicapMs,
+      Listener listener) {
+    this.handicapMs = handicapMs;
     this.loop = loop;
     this.state = state;
     this.node = node;
@@ -165,6 +178,16 @@
       return;
     }
     campaigning = true;
+    long wait = handicapMs.getAsLong();
+    if (wait > 0) {
+      // By then another leads, and the conditions of this node's transaction fail; or nobody does.
+      loop.after(wait, this::stand);
+    } else {
+      stand();
+    }
+  }
+
+  private void stand() {
     long sent = loop.now();
     state.lease(
         LIFE_MS,
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -106,6 +106,39 @@
     relay(codec().encode(new PeerCodec.Relay(method, path, body)), 0, answerer, failed);
   }
 
+  /**
+   * Passes a user's request on to one peer, which is known to be better off; {@code failed} when it
+   * does not answer.
+   */
+  public void relayTo(
+      int peer, String method, String path, byte[] body, Answerer answerer, Runnable failed) {
+    callers
+        .get(peer)
+        .call(
+            "POST",
+            RELAY,
+            codec().encode(new PeerCodec.Relay(method, path, body)),
+            TIMEOUT_MS,
+            new Caller.Answer() {
+              @Override
+              public void answered(int status, byte[] bytes) {
+                try {
+                  PeerCodec.Relayed r = codec().relayed(bytes);
+                  boolean later = r.status() >= 500 || r.status() == 429;
+                  answerer.answer(r.status(), Json.parseObject(r.body()), later);
+                } catch (BadMessage e) {
+                  garbled(e);
+                  failed.run();
+                }
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                failed.run();
+              }
+            });
+  }
+
   private void relay(byte[] message, int tried, Answerer answerer, Runnable failed) {
     if (tried == callers.size()) {
       failed.run();
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/ServedTest.java
@@ -0,0 +1,55 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Of what was due, how much is done, by class and team. */
+final class ServedTest {
+  private final Names classes = new Names();
+  private final Names zones = new Names();
+  private final List<Team> teams = List.of(new Team("red", 8, 0, 0, 0));
+
+  private Ledger ledger() {
+    zones.intern("a");
+    return new Ledger(1, 26, 4, teams, zones);
+  }
+
+  @Test
+  void aJobIsDueOnceItShouldBeOverAndCountsUntilItIs() {
+    classes.intern("c");
+    Ledger ledger = ledger();
+    Served served = new Served(classes, teams);
+    Job done = ledger.accept(Specs.array("job-1", 1, 1).build(), 1, 0, 0);
+    ledger.accept(Specs.array("job-2", 1, 1).build(), 1, 0, 0);
+    served.done(done);
+    ledger.jobs().remove(done);
+    assertEquals(
+        List.of("class c 1.0 1", "team red 1.0 1"), lines(served, ledger, Served.PATIENCE_MS));
+    assertEquals(
+        List.of("class c 0.5 1", "team red 0.5 1"), lines(served, ledger, Served.PATIENCE_MS + 1));
+    ledger.withdraw(ledger.job("job-2"), 0);
+    assertEquals(
+        List.of("class c 1.0 0", "team red 1.0 0"), lines(served, ledger, Served.PATIENCE_MS + 1));
+  }
+
+  private static List<String> lines(Served served, Ledger ledger, long now) {
+    return served.lines(ledger.jobs(), now).stream()
+        .map(l -> l.kind() + " " + l.name() + " " + l.share() + " " + l.open())
+        .toList();
+  }
+
+  @Test
+  void namesThatUsersMakeUpAreCountedAsOneBeyondABound() {
+    Served served = new Served(classes, teams);
+    Ledger ledger = ledger();
+    for (int i = 0; i < 1_000; i++) {
+      int c = classes.intern("c" + i);
+      JobSpec s = Specs.array("job-" + i, 1, 1).taskClass(c).build();
+      served.done(ledger.accept(s, 1, 0, 0));
+    }
+    assertTrue(served.lines(List.of(), 0).size() <= 66);
+  }
+}
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -14,6 +14,7 @@
   private boolean spot;
   private int zone = -1;
   private int team;
+  private int taskClass;
   private int priority = 2;
   private double checkpoint;
   private double save;
@@ -28,6 +29,11 @@
     return new Specs(id, tasks, cpus);
   }
 
+  public Specs taskClass(int index) {
+    taskClass = index;
+    return this;
+  }
+
   public Specs gang() {
     gang = true;
     return this;
@@ -72,7 +78,7 @@
   public JobSpec build() {
     return new JobSpec(
         id,
-        0,
+        taskClass,
         team,
         false,
         gang,
