--- a/src/test/java/org/mallowroad/config/SettingsTest.java
+++ b/src/test/java/org/mallowroad/config/SettingsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mallowroad.core.FleetPolicy;
 import org.mallowroad.core.health.HealthPolicy;
+import org.mallowroad.core.links.LinkPolicy;
 
 /** Settings files: unknown fields are ignored, wrong ones named. */
 final class SettingsTest {
@@ -95,6 +96,9 @@
         "<mallowroad><fleet booked-limit='x'/></mallowroad>|fleet/booked-limit",
         "<mallowroad><health slow-factor='0.5'/></mallowroad>|health/slow-factor",
         "<mallowroad><health still-s='none'/></mallowroad>|health/still-s",
+        "<mallowroad><links row-s='0'/></mallowroad>|links/row-s",
+        "<mallowroad><links row-s='5' fresh-s='6'/></mallowroad>|links/fresh-s",
+        "<mallowroad><links hedge-ms='soon'/></mallowroad>|links/hedge-ms",
         "<mallowroad><console/></mallowroad>|console/listen",
         "<mallowroad><console listen='7070'/></mallowroad>|console/listen",
         "<mallowroad><console listen='h:7070' every-s='0'/></mallowroad>|console/every-s",
@@ -116,6 +120,9 @@
     assertEquals(7070, c.listen().port());
     assertEquals(5_000, c.everyMs());
     assertTrue(OperatorSettings.defaults().console().isEmpty());
+    assertEquals(
+        LinkPolicy.defaults(), OperatorSettings.load("deploy/links.xml").links().orElseThrow());
+    assertTrue(OperatorSettings.defaults().links().isEmpty());
   }
 
   @Test
