--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -34,6 +34,8 @@
     FLAP_WORKERS(true),
     PEERS_REFUSED(true),
     NONE_WHOLE(true),
+    /** Workers and users are all that it reaches: no state, no cloud, no peer. */
+    ALONE(true),
     CUT_ZONE(false),
     CRASH(false),
     FREEZE(false),
--- a/src/main/java/org/mallowroad/world/Plan.java
+++ b/src/main/java/org/mallowroad/world/Plan.java
@@ -31,6 +31,7 @@
     Fault.Kind.CUT_STATE,
     Fault.Kind.CUT_WORKERS,
     Fault.Kind.NONE_WHOLE,
+    Fault.Kind.ALONE,
     Fault.Kind.FLAP_STATE,
     Fault.Kind.FLAP_WORKERS,
     Fault.Kind.CUT_PEER,
@@ -112,6 +113,7 @@
         switch (kind) {
           case STATE_OUT -> 12_000;
           case FREEZE, HANG -> 20_000;
+          case ALONE -> 55_000;
           default -> 35_000;
         };
     int count =
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -232,7 +232,9 @@
               r.nextInt(8) == 0,
               at);
       String rank = r.nextInt(3) == 0 ? "urgent" : "normal";
-      long run = kind.equals("long") ? 9_000 + r.nextLong(9_000) : 1_500 + r.nextLong(4_000);
+      long usual = kind.equals("long") ? 9_000 + r.nextLong(9_000) : 1_500 + r.nextLong(4_000);
+      // A few outlast a cancellation's time, or nothing would show that they are stopped.
+      long run = j % 12 == 2 ? 3 * usual + (long) (CANCEL_S * 1000) : usual;
       long fetch = 300 + r.nextLong(1_500);
       long withdraw = r.nextInt(7) == 0 ? 500 + r.nextLong(25_000) : 0;
       time.after(at * 1000, null, () -> users.job(s, rank, run, fetch, withdraw));
@@ -327,6 +329,14 @@
     return () -> lifts.forEach(Runnable::run);
   }
 
+  private Runnable alone(Fault f, int node) {
+    List<Runnable> lifts = new ArrayList<>();
+    for (Network.Kind lost : List.of(Network.Kind.STATE, Network.Kind.CLOUD, Network.Kind.NODE)) {
+      lifts.add(cut(f, node(node), all(lost)));
+    }
+    return () -> lifts.forEach(Runnable::run);
+  }
+
   private Runnable fails(Fault f, int node) {
     return switch (f.kind()) {
       case CUT_STATE -> cut(f, node(node), all(Network.Kind.STATE));
@@ -340,6 +350,7 @@
       case PEERS_REFUSED ->
           network.cut(all(Network.Kind.NODE), all(Network.Kind.NODE), Network.Mode.REFUSE);
       case NONE_WHOLE -> noneWhole(f, node);
+      case ALONE -> alone(f, node);
       case CUT_ZONE -> cut(f, new Network.End(null, -1, f.zone()), new Network.End(null, -1, null));
       case CRASH -> crash(node, f.forMs());
       case FREEZE -> freeze(hosts.get(node));
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -82,6 +82,20 @@
     }
   }
 
+  /** It hears of no withdrawal and of no other leader; both must reach its machines in time. */
+  @Test
+  void aLeaderThatReachesItsWorkersAloneLetsThemGo() {
+    Fault alone = new Fault(Fault.Kind.ALONE, 20_000, 60_000, -1, 0, "a", "refuse", 0, 1);
+    List<String> bad =
+        LongStream.rangeClosed(1, 24)
+            .parallel()
+            .mapToObj(seed -> play(new Plan(seed, 3, 10, 60, true, List.of(alone))))
+            .filter(r -> !r.good())
+            .map(World.Result::line)
+            .toList();
+    assertEquals(List.of(), bad);
+  }
+
   @Test
   void aPlanSurvivesItsFile(@TempDir Path dir) throws IOException {
     Plan plan = Plan.drawn(12, true);
