--- a/src/main/java/org/mallowroad/controller/LinkDuties.java
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -80,6 +80,7 @@
   private final Caller cloudDirect;
   private final Seldom lines = new Seldom(20, 10_000);
   private Election election;
+  private WorkerClient workers;
   private Office office;
   private int carrying;
   private boolean probing;
@@ -145,8 +146,6 @@
     return state;
   }
 
-  private WorkerClient workers;
-
   /** Begins. */
   void start(Election e, WorkerClient w, Office o) {
     election = e;
