An odd answer of a peer counts as sent; refused messages take no place; silence guards tested

A peer's 500 was taken for 'certainly not sent', though its orders may have gone out before: a launch would have counted as not in flight.

--- a/src/main/java/org/mallowroad/peer/Forwarding.java
+++ b/src/main/java/org/mallowroad/peer/Forwarding.java
@@ -160,8 +160,10 @@
                 LinkCodec.Forwarded f;
                 try {
                   if (status != 200) {
-                    // An earlier build, or a peer that serves too many already: it did nothing.
-                    answer.failed(false);
+                    // An earlier build (404), a message it cannot read, too much at once: it did
+                    // nothing. Anything else may have come after the call was sent on, and taken
+                    // for unsent a launch would count as not in flight.
+                    answer.failed(status != 400 && status != 404 && status != 413 && status != 503);
                     return;
                   }
                   f = codec().forwarded(bytes);
@@ -238,12 +240,13 @@
           x.answer(503, Peers.AVRO, NOTHING, true);
           return true;
         }
+        // Before it is counted: a message that is refused must not take a place for ever.
+        Outside to = f.to().equals(WORKER) ? null : party(f.to());
         serving++;
         Caller.Answer back = back(x, () -> serving--);
-        if (f.to().equals(WORKER)) {
+        if (to == null) {
           listener.orders(f.path(), f.body(), back);
         } else {
-          Outside to = party(f.to());
           byte[] body = f.body().length == 0 ? null : f.body();
           listener.forward(to, f.method(), f.path(), body, f.timeoutMs(), back);
         }
--- a/src/test/java/org/mallowroad/core/health/HealthTest.java
+++ b/src/test/java/org/mallowroad/core/health/HealthTest.java
@@ -138,6 +138,34 @@
               assertTrue(w.health.silence().deaf(w.now));
               assertEquals(0, w.health.silence().cuts());
             }),
+        rule(
+            "before many are overdue: with no zone heard at all nothing is said of anybody",
+            few -> {
+              World w = new World(40, 40);
+              w.pass(20_000, 0, 0);
+              assertFalse(w.health.silence().deaf(w.now));
+              w.now += 2_700;
+              w.health.silence().judge(w.now);
+              int late = w.health.silence().lateCount();
+              assertTrue(late > 0 && 2 * late < w.health.silence().known());
+              assertTrue(w.health.silence().deaf(w.now));
+            }),
+        rule(
+            "a zone whose first report comes by a peer has time to find that way; others have not",
+            w -> {
+              w.pass(20_000, 0, 0);
+              w.now += 9_000;
+              Silence s = w.health.silence();
+              s.judge(w.now);
+              assertEquals(s.known(), s.lateCount());
+              s.rerouted(0, w.now);
+              w.now += 4_000;
+              s.judge(w.now);
+              for (MachineHealth m : w.machines) {
+                assertEquals(m.zone() != 0, s.late(m));
+                assertEquals(m.zone() != 0, s.silentMs(m, w.now) > 8_000);
+              }
+            }),
         rule(
             "a zone that is away when a leader begins is seen although it never reported",
             w -> {
