--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -445,9 +445,11 @@
       ledger.restored(j, loop.now());
     }
     loaded = true;
-    // By then each worker that is heard has had an answer that stops what was withdrawn before.
+    // After a lease, not a report's round: by then each worker has had an answer of this leader,
+    // which
+    // stops what was withdrawn before, or had none, and its lease has run out.
     loop.after(
-        reportRoundMs(),
+        (long) (site.settings.leaseS() * 1001) + 500,
         () -> {
           if (!stopped) {
             onRead.run();
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -359,8 +359,9 @@
   }
 
   /**
-   * This node's leader has read the records and answered each worker since: what was withdrawn
-   * before is stopped. From now on a next leader's time to do the same begins anew.
+   * This node's leader read the records a lease ago: each worker was answered since or has lost its
+   * tasks, so what was withdrawn before is stopped. From now on a next leader's time to do the same
+   * begins anew.
    */
   public void read() {
     if (!leading) {
