--- a/src/main/java/org/mallowroad/cli/Experiment.java
+++ b/src/main/java/org/mallowroad/cli/Experiment.java
@@ -44,6 +44,13 @@
       description = "Histories with processes that are back within a second, and late copies.")
   private boolean restarts;
 
+  @Option(
+      names = "--unheard",
+      description =
+          "Histories with deaf machines, late copies of reports, and controllers left with their"
+              + " workers alone.")
+  private boolean unheard;
+
   @Option(names = "--without-links", description = "Without the ways round cuts.")
   private boolean without;
 
@@ -122,7 +129,7 @@
     ExecutorService pool = Executors.newFixedThreadPool(jobs);
     List<Future<World.Result>> results = new ArrayList<>();
     for (int i = 0; i < histories; i++) {
-      Plan plan = restarts ? Plan.restarts(from + i, !without) : Plan.drawn(from + i, !without);
+      Plan plan = plan(from + i);
       results.add(pool.submit(() -> new World(plan).play()));
     }
     pool.shutdown();
@@ -169,6 +176,13 @@
     return bad == 0 ? 0 : 1;
   }
 
+  private Plan plan(long seed) {
+    if (unheard) {
+      return Plan.unheard(seed, !without);
+    }
+    return restarts ? Plan.restarts(seed, !without) : Plan.drawn(seed, !without);
+  }
+
   private void tell(World.Result r) {
     for (Checker.Breach b : r.breaches()) {
       out.println("BROKEN " + b.rule() + " at " + b.ms() + ": " + b.what());
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -5,6 +5,7 @@
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.mallowroad.cloud.CloudApi;
 import org.mallowroad.core.Fleet;
 import org.mallowroad.core.Fleet.Coming;
@@ -13,6 +14,7 @@
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.MachineType;
+import org.mallowroad.core.gang.Gathering;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.Loop;
@@ -34,6 +36,9 @@
   private static final long JUDGE_MS = 500;
   private static final long AGAIN_MS = 300;
 
+  /** The field of a request's record that names the gang it was made for. */
+  private static final String GANG = "gang";
+
   private final Loop loop;
   private final StateStore state;
   private final CloudApi cloud;
@@ -79,11 +84,16 @@
     final Variant variant;
     final int count;
     final long sinceMs;
+
+    /** The gang that its machines are gathered for, or null. */
+    final String gang;
+
     boolean calling;
     boolean answered;
     List<String> machines = List.of();
 
-    Hire(String name, Variant variant, int count, long sinceMs) {
+    Hire(String name, Variant variant, int count, long sinceMs, String gang) {
+      this.gang = gang;
       this.name = name;
       this.variant = variant;
       this.count = count;
@@ -92,7 +102,7 @@
   }
 
   /** A machine that was rented or listed and has not reported in this term. */
-  private record Expected(String name, Variant variant, long rentedMs, long metMs) {}
+  private record Expected(String name, Variant variant, long rentedMs, long metMs, String gang) {}
 
   FleetManager(
       Loop loop,
@@ -151,7 +161,8 @@
             name,
             new Variant(type, zone, v.path("spot").asBoolean()),
             v.path("count").asInt(),
-            loop.now());
+            loop.now(),
+            v.path(GANG).asText(null));
     hires.put(name, h);
     call(h);
   }
@@ -223,7 +234,11 @@
       expected.putIfAbsent(
           l.name(),
           new Expected(
-              l.name(), new Variant(type, zone, l.spot()), now - (long) (l.ageS() * 1000), now));
+              l.name(),
+              new Variant(type, zone, l.spot()),
+              now - (long) (l.ageS() * 1000),
+              now,
+              null));
     }
   }
 
@@ -242,6 +257,16 @@
     List<Job> queue = office.queue();
     // What one transaction cannot record is asked for again in the next cycle.
     List<Fleet.Rent> rents = fleet.rents(queue, coming, site.machineTypes(), now);
+    for (Gathering.Change c : ledger.gathering().changes()) {
+      LOG.info(
+          "event=gang_{} job={} zone={} places={} of={} lasted_ms={}",
+          c.what().name().toLowerCase(Locale.ROOT),
+          c.job().spec.id(),
+          c.zone() < 0 ? "any" : site.zones.name(c.zone()),
+          c.places(),
+          c.need(),
+          c.lastedMs());
+    }
     if (!rents.isEmpty() && !recording) {
       rent(rents.subList(0, Math.min(rents.size(), maxOps)), now);
     }
@@ -269,13 +294,13 @@
     List<Coming> out = new ArrayList<>();
     for (Hire h : hires.values()) {
       if (!h.answered) {
-        out.add(new Coming(h.variant, h.count, h.sinceMs));
+        out.add(new Coming(h.variant, h.count, h.sinceMs, h.gang));
       }
     }
     for (Expected e : expected.values()) {
       // One that is long overdue may never come: it no longer holds back a replacement.
       if (now - e.rentedMs < (long) (e.variant.type().bootS() * 1800) + 4000) {
-        out.add(new Coming(e.variant, 1, e.rentedMs));
+        out.add(new Coming(e.variant, 1, e.rentedMs, e.gang));
       }
     }
     return out;
@@ -287,7 +312,7 @@
     Txn txn = new Txn().given(Election.LEADER, mark);
     for (Fleet.Rent r : rents) {
       String name = "r-" + term + "-" + counter++;
-      Hire h = new Hire(name, r.variant(), r.count(), now);
+      Hire h = new Hire(name, r.variant(), r.count(), now, r.gang());
       h.calling = true;
       hires.put(name, h);
       batch.add(h);
@@ -296,6 +321,9 @@
       v.put("zone", site.zones.name(r.variant().zone()));
       v.put("spot", r.variant().spot());
       v.put("count", r.count());
+      if (r.gang() != null) {
+        v.put(GANG, r.gang()); // The next leader goes on gathering for it.
+      }
       txn.given(Records.HIRE + name, 0).put(Records.HIRE + name, v);
     }
     writes.force(txn.writes(), now);
@@ -318,6 +346,19 @@
         });
   }
 
+  /** Machines of a variant that the cloud has given: known, or on their way. */
+  private int there(Variant v) {
+    int n = 0;
+    for (Machine m : ledger.machines()) {
+      boolean is = m.type.index() == v.type().index() && m.zone == v.zone() && m.spot == v.spot();
+      n += is && !m.failed ? 1 : 0;
+    }
+    for (Expected e : expected.values()) {
+      n += e.variant.key() == v.key() && ledger.machine(e.name) == null ? 1 : 0;
+    }
+    return n;
+  }
+
   private void call(Hire h) {
     h.calling = true;
     LOG.info(
@@ -355,13 +396,15 @@
           if (refused || names.size() < h.count) {
             LOG.info("event=rent_short hire={} got={} of={}", h.name, names.size(), h.count);
             fleet.refused(h.variant, now);
+            ledger.gathering().refused(h.variant, there(h.variant) + names.size(), now);
           } else {
             fleet.granted(h.variant);
           }
           for (String n : names) {
             Machine m = ledger.machine(n);
             if ((m == null || m.reportedMs < 0) && !ledger.isGone(n)) {
-              expected.putIfAbsent(n, new Expected(n, h.variant, h.sinceMs, now));
+              // Over what a list said meanwhile, which does not know for whom it was rented.
+              expected.put(n, new Expected(n, h.variant, h.sinceMs, now, h.gang));
             }
           }
         });
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -1,6 +1,5 @@
 package org.mallowroad.controller;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
@@ -11,9 +10,7 @@
 import java.util.function.IntSupplier;
 import org.mallowroad.cloud.CloudApi;
 import org.mallowroad.core.Attempt;
-import org.mallowroad.core.Chunk;
 import org.mallowroad.core.Job;
-import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.MachineType;
@@ -29,8 +26,6 @@
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore;
 import org.mallowroad.state.StateStore.Item;
-import org.mallowroad.state.StateStore.Result;
-import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.WorkerCodec;
 import org.mallowroad.worker.WorkerClient;
 import org.slf4j.Logger;
@@ -48,18 +43,19 @@
    */
   private static final long PASS_MS = 40;
 
-  private static final long WATCH_MS = 10_000;
   private static final long TICK_MS = 250;
   private static final long LOAD_MS = 10_000;
   private static final long SERVED_MS = 60_000;
   private static final int FEW_MACHINES = 8;
 
+  /**
+   * So long after its last renewal a lease of 3 s is over at the service, whatever is on its way.
+   */
+  private static final long ALONE_MS = 4_500;
+
   /** A worker's way round: a report without an answer, the pause, and the same once more. */
   private static final long ROUND_MS = 10_000;
 
-  /** Records that a takeover takes in one turn of the loop. */
-  private static final int TURN = 24;
-
   private final Loop loop;
   private final StateStore state;
   private final Site site;
@@ -94,6 +90,7 @@
   private final Load load = new Load();
   private final Served served;
   private final WriteShare share;
+  private final RecordReader records;
 
   Leader(
       Loop loop,
@@ -195,6 +192,7 @@
                 }
               }
             });
+    this.records = new RecordReader(loop, state, site, ledger, committer, new Readers());
     this.fleet =
         new FleetManager(
             loop,
@@ -230,6 +228,23 @@
             });
   }
 
+  private final class Readers implements RecordReader.Office {
+    @Override
+    public void taken(int count, List<Item> hire) {
+      Leader.this.taken(count, hire);
+    }
+
+    @Override
+    public void accepted() {
+      share.accepted();
+    }
+
+    @Override
+    public void changed() {
+      advance();
+    }
+  }
+
   /** The first token of this term's block. */
   long term() {
     return term;
@@ -272,7 +287,7 @@
 
   void start() {
     duties.add(loop.every(TICK_MS, this::beat));
-    load();
+    records.begin();
   }
 
   /**
@@ -286,164 +301,12 @@
   void stop() {
     stopped = true;
     duties.forEach(Loop.Timer::cancel);
+    records.stop();
     committer.stop();
     fleet.stop();
   }
 
-  // Takeover: open jobs, then their attempts, then rental requests.
-
-  private void load() {
-    if (stopped) {
-      return;
-    }
-    if (site.machineTypes().isEmpty()) {
-      loop.after(100, this::load);
-      return;
-    }
-    // At once: only this term writes run and hire, and what changes in open is followed from the
-    // revision of its list.
-    Takeover t = new Takeover();
-    state.list(Records.OPEN, (r, items, revision) -> t.open(r, items, revision));
-    state.list(Records.RUN, (r, items, revision) -> t.run(r, items));
-    state.list(Records.HIRE, (r, items, revision) -> t.hire(r, items));
-  }
-
-  /** What a takeover reads, until it is complete. */
-  private final class Takeover {
-    private List<Item> open;
-    private List<Item> run;
-    private List<Item> hire;
-    private long revision;
-    private int lists;
-    private boolean failed;
-
-    void open(Result r, List<Item> items, long at) {
-      open = items;
-      revision = at;
-      read(r);
-    }
-
-    void run(Result r, List<Item> items) {
-      run = items;
-      read(r);
-    }
-
-    void hire(Result r, List<Item> items) {
-      hire = items;
-      read(r);
-    }
-
-    private void read(Result r) {
-      failed |= r != Result.OK;
-      if (++lists < 3 || stopped) {
-        return;
-      }
-      if (failed) {
-        loop.after(200, Leader.this::load);
-      } else {
-        accept(0);
-      }
-    }
-
-    /** A few records a turn: lease renewals and answers to workers and users go first. */
-    private void accept(int from) {
-      if (stopped) {
-        return;
-      }
-      int to = Math.min(open.size(), from + TURN);
-      open.subList(from, to).forEach(Leader.this::opened);
-      if (to < open.size()) {
-        loop.soon(() -> accept(to));
-      } else {
-        restoreWithdrawn(open, run, () -> restore(0));
-      }
-    }
-
-    private void restore(int from) {
-      if (stopped) {
-        return;
-      }
-      int to = Math.min(run.size(), from + TURN);
-      for (Item i : run.subList(from, to)) {
-        Job job = ledger.job(jobOf(i.key()));
-        if (job != null) {
-          restoreRun(job, i);
-        }
-      }
-      if (to < run.size()) {
-        loop.soon(() -> restore(to));
-      } else {
-        loaded(run.size(), hire, revision);
-      }
-    }
-  }
-
-  /** Attempts of jobs that are over still count: their specs stand in the end records. */
-  private void restoreWithdrawn(List<Item> open, List<Item> run, Runnable next) {
-    ObjectOpenHashSet<String> known = new ObjectOpenHashSet<>();
-    open.forEach(i -> known.add(i.key().substring(Records.OPEN.length())));
-    ObjectOpenHashSet<String> over = new ObjectOpenHashSet<>();
-    for (Item i : run) {
-      String id = jobOf(i.key());
-      if (!known.contains(id)) {
-        over.add(id);
-      }
-    }
-    ObjectOpenHashSet<String> done = new ObjectOpenHashSet<>();
-    readEnds(
-        new ArrayList<>(over),
-        0,
-        done,
-        () -> {
-          for (Item i : run) {
-            if (done.contains(jobOf(i.key()))) {
-              committer.leftover(i.key(), i.mark());
-            }
-          }
-          next.run();
-        });
-  }
-
-  private void readEnds(List<String> ids, int i, ObjectOpenHashSet<String> over, Runnable next) {
-    if (stopped) {
-      return;
-    }
-    if (i == ids.size()) {
-      next.run();
-      return;
-    }
-    state.get(
-        Records.end(ids.get(i)),
-        (result, item) -> {
-          if (result != Result.OK) {
-            loop.after(200, () -> readEnds(ids, i, over, next));
-            return;
-          }
-          try {
-            JsonNode v = item.value();
-            if (v != null && !v.has("open")) {
-              over.add(ids.get(i));
-            } else if (v != null) {
-              JobSpec spec = Records.spec(v.get("open"), site.codec);
-              if (spec.team() >= 0) {
-                ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
-              }
-            }
-          } catch (BadMessage e) {
-            LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
-          }
-          readEnds(ids, i + 1, over, next);
-        });
-  }
-
-  private static String jobOf(String runKey) {
-    return runKey.substring(Records.RUN.length(), runKey.lastIndexOf('/'));
-  }
-
-  private void loaded(int records, List<Item> hire, long revision) {
-    for (Job j : ledger.jobs()) {
-      ledger.restored(j, loop.now());
-    }
+  private void taken(int records, List<Item> hire) {
     loaded = true;
     // After a lease, not a report's round: by then each worker has had an answer of this leader,
     // which
@@ -466,118 +329,12 @@
         loop.now() - startedMs);
     early.values().forEach(r -> take(r));
     early.clear();
-    follow(revision);
     load.tickedMs = loop.now();
     duties.add(loop.every(TICK_MS, this::tick));
     duties.add(loop.every(LOAD_MS, load::log));
     duties.add(loop.every(SERVED_MS, this::tellServed));
   }
 
-  private void restoreRun(Job job, Item i) {
-    JsonNode v = i.value();
-    int index = Integer.parseInt(i.key().substring(i.key().lastIndexOf('/') + 1));
-    if (index >= job.chunkCount()) {
-      return;
-    }
-    Chunk c = job.chunk(index);
-    ledger.restore(c, i.mark(), Records.done(v), v.path("high").asInt());
-    for (Records.Live a : Records.live(v)) {
-      MachineType type = site.type(a.type());
-      int zone = site.zones.find(a.zone());
-      if (type == null || zone < 0) {
-        LOG.error("event=record_unreadable key={} machine={}", i.key(), a.machine());
-        continue;
-      }
-      Machine m = ledger.meet(a.machine(), type, zone, a.spot(), loop.now());
-      ledger.restoreAttempt(job, a.task(), a.number(), m, a.session(), loop.now());
-    }
-    if (job.withdrawn()) {
-      ledger.redo(c, loop.now());
-    }
-  }
-
-  private void opened(Item i) {
-    try {
-      JobSpec spec = Records.spec(i.value(), site.codec);
-      if (spec.team() < 0) {
-        LOG.error("event=team_unknown job={}", spec.id());
-        return;
-      }
-      ledger.accept(spec, i.mark(), loop.wallMs() - spec.submittedMs(), loop.now());
-    } catch (BadMessage e) {
-      LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
-    }
-  }
-
-  // New jobs and withdrawals, which any node may record.
-
-  private void follow(long from) {
-    if (stopped) {
-      return;
-    }
-    state.follow(
-        Records.OPEN,
-        from,
-        WATCH_MS,
-        (result, events, revision) -> {
-          if (stopped) {
-            return;
-          }
-          if (result != Result.OK) {
-            loop.after(200, this::relist);
-            return;
-          }
-          for (Item e : events) {
-            if (e.value() != null) {
-              share.accepted();
-              opened(e);
-            } else {
-              closed(e.key().substring(Records.OPEN.length()));
-            }
-          }
-          if (!events.isEmpty()) {
-            advance();
-          }
-          follow(revision);
-        });
-  }
-
-  private void closed(String id) {
-    Job job = ledger.job(id);
-    if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
-      committer.reread(job, this::advance);
-    }
-  }
-
-  private void relist() {
-    if (stopped) {
-      return;
-    }
-    state.list(
-        Records.OPEN,
-        (result, open, revision) -> {
-          if (stopped) {
-            return;
-          }
-          if (result != Result.OK) {
-            loop.after(300, this::relist);
-            return;
-          }
-          ObjectOpenHashSet<String> ids = new ObjectOpenHashSet<>();
-          for (Item i : open) {
-            ids.add(i.key().substring(Records.OPEN.length()));
-            opened(i);
-          }
-          for (Job j : new ArrayList<>(ledger.jobs())) {
-            if (!ids.contains(j.spec.id())) {
-              closed(j.spec.id());
-            }
-          }
-          advance();
-          follow(revision);
-        });
-  }
-
   private long reportRoundMs() {
     return (long) (site.settings.reportS() * 1250) + 500;
   }
@@ -664,7 +421,7 @@
       if (m.empty() || m.address.isEmpty()) {
         continue;
       }
-      List<Order> orders = ledger.direct(m, true, now);
+      List<Order> orders = ledger.dialogue().direct(m, true, now);
       if (orders.isEmpty()) {
         continue;
       }
@@ -678,7 +435,7 @@
               return;
             }
             if (result != WorkerClient.Result.UNKNOWN) {
-              ledger.answered(m, orders);
+              ledger.dialogue().answered(m, orders);
             }
             if (report != null && report.machine().equals(m.name)) {
               ledger.report(m, report, false, loop.now());
@@ -709,6 +466,17 @@
     return loop.now() - Math.max(election.renewedMs(), state.contactMs()) > deafMs;
   }
 
+  /**
+   * True when this leader's lease must be over and no peer is heard: then it is cut off, and
+   * another leads; or the state service is away and so are the peers. Nothing here tells the two
+   * apart, but a worker that looks round does ({@link Watchman#sendRound}).
+   */
+  private boolean alone(long now) {
+    return site.settings.nodes() > 1
+        && peersNear.getAsInt() == 0
+        && now - Math.max(election.renewedMs(), state.contactMs()) > ALONE_MS;
+  }
+
   /** True when leaders have renewed worker leases for too long without reading the records. */
   private boolean unread() {
     return !loaded && loop.wallMs() - unreadMs > mostUnreadMs;
@@ -729,14 +497,18 @@
    * @param via the peer that brought it, or -1
    */
   void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
-    watchman.turn(loop.now());
-    heard = true;
-    heardMs = loop.now();
-    if (deaf() || unread() || watchman.unsure(election.renewedMs(), heardMs)) {
+    long now = loop.now();
+    watchman.turn(now);
+    if (deaf()
+        || unread()
+        || watchman.unsure(election.renewedMs(), now)
+        || (alone(now) && watchman.sendRound(r, now))) {
       reply.accept(null);
       return;
     }
     if (!loaded) {
+      heard = true;
+      heardMs = now;
       early.put(r.machine(), r);
       reply.accept(WorkerCodec.orders(term, List.of()));
       return;
@@ -747,14 +519,17 @@
       return;
     }
     load.reports++;
-    watchman.came(m.zone, via < 0, loop.now());
-    fleet.reported(m);
-    List<Order> orders = ledger.report(m, r, firm(), loop.now());
-    m.answeredMs = loop.now();
+    List<Order> orders = ledger.report(m, r, firm(), now);
+    m.answeredMs = now;
     if (orders == null) {
+      // A late copy, or overtaken by a newer one: nobody was heard by it.
       reply.accept(WorkerCodec.orders(m.token, List.of()));
       return;
     }
+    heard = true;
+    heardMs = now;
+    watchman.came(m.zone, via < 0, now);
+    fleet.reported(m);
     m.via = via;
     watchman.reported(m, loop.now());
     advance();
@@ -911,6 +686,7 @@
             && a.session == report.session()
             && firm()) {
           a.sent = true;
+          a.told = true;
           orders.add(new Order(Order.Kind.LAUNCH, a.job.spec.id(), a.task, a.number, 0));
         }
       }
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/RecordReader.java
@@ -0,0 +1,322 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Item;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.wire.BadMessage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the records that a term begins with into its ledger, a few in a turn of the loop, and from
+ * then on follows open jobs, which any node may record or withdraw.
+ */
+final class RecordReader {
+  private static final Logger LOG = LoggerFactory.getLogger(RecordReader.class);
+  private static final long WATCH_MS = 10_000;
+
+  /** Records that a takeover takes in one turn of the loop. */
+  private static final int TURN = 24;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final Site site;
+  private final Ledger ledger;
+  private final Committer committer;
+  private final Office office;
+  private boolean stopped;
+
+  /** What the leader must hear of. */
+  interface Office {
+    /** All records are read: so many of runs, and these of rental requests. */
+    void taken(int count, List<Item> hire);
+
+    /** A job was accepted, here or elsewhere. */
+    void accepted();
+
+    /** There may be something to place or to stop. */
+    void changed();
+  }
+
+  RecordReader(
+      Loop loop, StateStore state, Site site, Ledger ledger, Committer committer, Office office) {
+    this.loop = loop;
+    this.state = state;
+    this.site = site;
+    this.ledger = ledger;
+    this.committer = committer;
+    this.office = office;
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  /** Reads what there is, until it is whole. */
+  void begin() {
+    if (stopped) {
+      return;
+    }
+    if (site.machineTypes().isEmpty()) {
+      loop.after(100, this::begin);
+      return;
+    }
+    // At once: only this term writes run and hire, and what changes in open is followed from the
+    // revision of its list.
+    Takeover t = new Takeover();
+    state.list(Records.OPEN, (r, items, revision) -> t.open(r, items, revision));
+    state.list(Records.RUN, (r, items, revision) -> t.run(r, items));
+    state.list(Records.HIRE, (r, items, revision) -> t.hire(r, items));
+  }
+
+  /** What a takeover reads, until it is complete. */
+  private final class Takeover {
+    private List<Item> open;
+    private List<Item> run;
+    private List<Item> hire;
+    private long revision;
+    private int lists;
+    private boolean failed;
+
+    void open(Result r, List<Item> items, long at) {
+      open = items;
+      revision = at;
+      read(r);
+    }
+
+    void run(Result r, List<Item> items) {
+      run = items;
+      read(r);
+    }
+
+    void hire(Result r, List<Item> items) {
+      hire = items;
+      read(r);
+    }
+
+    private void read(Result r) {
+      failed |= r != Result.OK;
+      if (++lists < 3 || stopped) {
+        return;
+      }
+      if (failed) {
+        loop.after(200, RecordReader.this::begin);
+      } else {
+        accept(0);
+      }
+    }
+
+    /** A few records a turn: lease renewals and answers to workers and users go first. */
+    private void accept(int from) {
+      if (stopped) {
+        return;
+      }
+      int to = Math.min(open.size(), from + TURN);
+      open.subList(from, to).forEach(RecordReader.this::opened);
+      if (to < open.size()) {
+        loop.soon(() -> accept(to));
+      } else {
+        restoreWithdrawn(open, run, () -> restore(0));
+      }
+    }
+
+    private void restore(int from) {
+      if (stopped) {
+        return;
+      }
+      int to = Math.min(run.size(), from + TURN);
+      for (Item i : run.subList(from, to)) {
+        Job job = ledger.job(jobOf(i.key()));
+        if (job != null) {
+          restoreRun(job, i);
+        }
+      }
+      if (to < run.size()) {
+        loop.soon(() -> restore(to));
+      } else {
+        for (Job j : ledger.jobs()) {
+          ledger.restored(j, loop.now());
+        }
+        office.taken(run.size(), hire);
+        follow(revision);
+      }
+    }
+  }
+
+  /** Attempts of jobs that are over still count: their specs stand in the end records. */
+  private void restoreWithdrawn(List<Item> open, List<Item> run, Runnable next) {
+    ObjectOpenHashSet<String> known = new ObjectOpenHashSet<>();
+    open.forEach(i -> known.add(i.key().substring(Records.OPEN.length())));
+    ObjectOpenHashSet<String> over = new ObjectOpenHashSet<>();
+    for (Item i : run) {
+      String id = jobOf(i.key());
+      if (!known.contains(id)) {
+        over.add(id);
+      }
+    }
+    ObjectOpenHashSet<String> done = new ObjectOpenHashSet<>();
+    readEnds(
+        new ArrayList<>(over),
+        0,
+        done,
+        () -> {
+          for (Item i : run) {
+            if (done.contains(jobOf(i.key()))) {
+              committer.leftover(i.key(), i.mark());
+            }
+          }
+          next.run();
+        });
+  }
+
+  private void readEnds(List<String> ids, int i, ObjectOpenHashSet<String> over, Runnable next) {
+    if (stopped) {
+      return;
+    }
+    if (i == ids.size()) {
+      next.run();
+      return;
+    }
+    state.get(
+        Records.end(ids.get(i)),
+        (result, item) -> {
+          if (result != Result.OK) {
+            loop.after(200, () -> readEnds(ids, i, over, next));
+            return;
+          }
+          try {
+            JsonNode v = item.value();
+            if (v != null && !v.has("open")) {
+              over.add(ids.get(i));
+            } else if (v != null) {
+              JobSpec spec = Records.spec(v.get("open"), site.codec);
+              if (spec.team() >= 0) {
+                ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
+              }
+            }
+          } catch (BadMessage e) {
+            LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+          }
+          readEnds(ids, i + 1, over, next);
+        });
+  }
+
+  private static String jobOf(String runKey) {
+    return runKey.substring(Records.RUN.length(), runKey.lastIndexOf('/'));
+  }
+
+  private void restoreRun(Job job, Item i) {
+    JsonNode v = i.value();
+    int index = Integer.parseInt(i.key().substring(i.key().lastIndexOf('/') + 1));
+    if (index >= job.chunkCount()) {
+      return;
+    }
+    Chunk c = job.chunk(index);
+    ledger.restore(c, i.mark(), Records.done(v), v.path("high").asInt());
+    for (Records.Live a : Records.live(v)) {
+      MachineType type = site.type(a.type());
+      int zone = site.zones.find(a.zone());
+      if (type == null || zone < 0) {
+        LOG.error("event=record_unreadable key={} machine={}", i.key(), a.machine());
+        continue;
+      }
+      Machine m = ledger.meet(a.machine(), type, zone, a.spot(), loop.now());
+      ledger.restoreAttempt(job, a.task(), a.number(), m, a.session(), loop.now());
+    }
+    if (job.withdrawn()) {
+      ledger.redo(c, loop.now());
+    }
+  }
+
+  private void opened(Item i) {
+    try {
+      JobSpec spec = Records.spec(i.value(), site.codec);
+      if (spec.team() < 0) {
+        LOG.error("event=team_unknown job={}", spec.id());
+        return;
+      }
+      ledger.accept(spec, i.mark(), loop.wallMs() - spec.submittedMs(), loop.now());
+    } catch (BadMessage e) {
+      LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
+    }
+  }
+
+  private void follow(long from) {
+    if (stopped) {
+      return;
+    }
+    state.follow(
+        Records.OPEN,
+        from,
+        WATCH_MS,
+        (result, events, revision) -> {
+          if (stopped) {
+            return;
+          }
+          if (result != Result.OK) {
+            loop.after(200, this::relist);
+            return;
+          }
+          for (Item e : events) {
+            if (e.value() != null) {
+              office.accepted();
+              opened(e);
+            } else {
+              closed(e.key().substring(Records.OPEN.length()));
+            }
+          }
+          if (!events.isEmpty()) {
+            office.changed();
+          }
+          follow(revision);
+        });
+  }
+
+  private void closed(String id) {
+    Job job = ledger.job(id);
+    if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
+      committer.reread(job, office::changed);
+    }
+  }
+
+  private void relist() {
+    if (stopped) {
+      return;
+    }
+    state.list(
+        Records.OPEN,
+        (result, open, revision) -> {
+          if (stopped) {
+            return;
+          }
+          if (result != Result.OK) {
+            loop.after(300, this::relist);
+            return;
+          }
+          ObjectOpenHashSet<String> ids = new ObjectOpenHashSet<>();
+          for (Item i : open) {
+            ids.add(i.key().substring(Records.OPEN.length()));
+            opened(i);
+          }
+          for (Job j : new ArrayList<>(ledger.jobs())) {
+            if (!ids.contains(j.spec.id())) {
+              closed(j.spec.id());
+            }
+          }
+          office.changed();
+          follow(revision);
+        });
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -1,10 +1,12 @@
 package org.mallowroad.controller;
 
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.Arrays;
 import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.Names;
+import org.mallowroad.core.WorkerReport;
 import org.mallowroad.core.health.Haste;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.core.health.HealthPolicy;
@@ -86,6 +88,8 @@
   private final Haste[] zoneHaste;
   private final long[] directMs;
   private final boolean[] rerouted;
+  private final int[] deafIn;
+  private final Object2LongOpenHashMap<String> rounds = new Object2LongOpenHashMap<>();
   private int lines;
   private long leftOut;
 
@@ -104,6 +108,7 @@
     this.zoneHaste = new Haste[zones.size()];
     this.directMs = new long[zones.size()];
     this.rerouted = new boolean[zones.size()];
+    this.deafIn = new int[zones.size()];
     Arrays.fill(directMs, now);
     for (int z = 0; z < zoneHaste.length; z++) {
       zoneHaste[z] = new Haste(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
@@ -134,6 +139,23 @@
     return still.count() > 0 && renewedMs < still.since() && now - still.since() < UNSURE_MS;
   }
 
+  /**
+   * True once for each worker, again after a lease: it is turned away, and asks the other nodes. If
+   * another leads it is answered there, by a higher token, and its tasks live on; before this it
+   * stayed with a leader that was none, which placed nothing, until that fell silent, and the new
+   * leader took it for silent and returned it. If nobody leads it is back within one round of the
+   * nodes, well within its lease, and is answered. No answer is given that was not given before, so
+   * no proof changes.
+   */
+  boolean sendRound(WorkerReport r, long now) {
+    long last = rounds.getOrDefault(r.machine(), Long.MIN_VALUE / 2);
+    if (now - last < leaseMs) {
+      return false;
+    }
+    rounds.put(r.machine(), now);
+    return true;
+  }
+
   /** By which way a zone's report came: the first that is carried, and none came by itself. */
   void came(int zone, boolean direct, long now) {
     if (direct) {
@@ -180,6 +202,10 @@
       line(c.machine().name, event(c.doubt()), Math.round(c.pace() * 100) / 100.0);
     }
     leftOut += health.unlogged();
+    Arrays.fill(deafIn, 0);
+    for (Machine m : ledger.machines()) {
+      deafIn[m.zone] += m.health.hearing().deaf() ? 1 : 0;
+    }
     for (Machine m : ledger.machines()) {
       if (!m.returning) {
         judge(m, silence, now);
@@ -201,9 +227,11 @@
   }
 
   private void judge(Machine m, Silence silence, long now) {
-    if (ledger.mustFence(m, now)) {
+    if (ledger.dialogue().mustFence(m, now)) {
       m.returning = true;
       line(m.name, "machine_unfenced", 0);
+    } else if (m.health.hearing().deaf()) {
+      deaf(m, now);
     } else if (silence.silentMs(m.health, now) > silentMs + (m.via >= 0 ? ROUND_MS : 0)) {
       if (mayReturn(m, silence, now)) {
         m.returning = true;
@@ -218,6 +246,29 @@
     }
   }
 
+  /**
+   * A machine that is told and does not hear: its tasks end with its lease, so it is returned, but
+   * no more of a zone than of one that is cut off, since what keeps answers from a whole zone
+   * passes. What was launched there and never taken is not wanted there any more: its next report
+   * that does not list it proves it gone.
+   */
+  private void deaf(Machine m, long now) {
+    for (Attempt a : m.attempts()) {
+      if (a.phase == Attempt.Phase.READY && !a.stopping()) {
+        ledger.stop(a, 0, now);
+      }
+    }
+    int known = health.silence().known(m.zone);
+    boolean may =
+        deafIn[m.zone] >= health.policy().cutLeast()
+            ? zoneHaste[m.zone].take(known, now)
+            : haste.take(ledger.machines().size(), now);
+    if (may) {
+      m.returning = true;
+      line(m.name, "machine_deaf", m.session);
+    }
+  }
+
   private boolean mayReturn(Machine m, Silence silence, long now) {
     long ms = silence.silentMs(m.health, now);
     int zone = m.zone;
--- a/src/main/java/org/mallowroad/core/Attempt.java
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -50,6 +50,9 @@
   /** True when an earlier leader began it: when it began to run is not known then. */
   boolean restored;
 
+  /** True once an answer to a report carried its launch. */
+  public boolean told;
+
   /** True once its launch was sent in any way. */
   public boolean sent;
 
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -18,20 +18,40 @@
 public final class Fleet {
   /** A type in a zone, ordinary or spot. */
   public record Variant(MachineType type, int zone, boolean spot) {
-    long key() {
+    /** The same number for the same variant, and no other's. */
+    public long key() {
       return ((long) type.index() << 32) | ((long) zone << 1) | (spot ? 1 : 0);
     }
 
-    double price() {
+    /** What one costs an hour. */
+    public double price() {
       return type.price(spot);
     }
   }
 
-  /** Machines to be rented of one variant. */
-  public record Rent(Variant variant, int count) {}
+  /**
+   * Machines to be rented of one variant.
+   *
+   * @param gang the gang that they are gathered for, or null
+   */
+  public record Rent(Variant variant, int count, String gang) {
+    /** For whatever waits. */
+    public Rent(Variant variant, int count) {
+      this(variant, count, null);
+    }
+  }
 
-  /** Machines rented and not yet reporting: they will take waiting tasks. */
-  public record Coming(Variant variant, int count, long sinceMs) {}
+  /**
+   * Machines rented and not yet reporting: they will take waiting tasks.
+   *
+   * @param gang the gang that they were rented for, or null
+   */
+  public record Coming(Variant variant, int count, long sinceMs, String gang) {
+    /** For whatever waits. */
+    public Coming(Variant variant, int count, long sinceMs) {
+      this(variant, count, sinceMs, null);
+    }
+  }
 
   /** The cloud rents no more machines at once. */
   private static final int MOST_A_CALL = 50;
@@ -127,7 +147,11 @@
    * would be sooner, is one rented for it. So work that can wait for room does not rent dear
    * machines.
    */
-  public List<Rent> rents(List<Job> queue, List<Coming> coming, List<MachineType> types, long now) {
+  public List<Rent> rents(List<Job> all, List<Coming> every, List<MachineType> types, long now) {
+    // Gangs gather by themselves (core.gang): in the averages and the forecasts their tasks would
+    // rent one machine after the other, in each zone, and none of them would wait for the others.
+    List<Job> queue = all.stream().filter(j -> !j.spec.gang()).toList();
+    List<Coming> coming = every.stream().filter(c -> c.gang() == null).toList();
     Object2IntLinkedOpenHashMap<Variant> added = new Object2IntLinkedOpenHashMap<>();
     int waiting = forecast(queue, coming, types, added, now);
     if (added.isEmpty() && spareIsLow(waiting, coming)) {
@@ -136,7 +160,7 @@
         added.addTo(v, 1);
       }
     }
-    List<Rent> rents = new ArrayList<>();
+    List<Rent> rents = new ArrayList<>(ledger.gathering().rents(every, types, now));
     for (Object2IntMap.Entry<Variant> e : added.object2IntEntrySet()) {
       for (int left = e.getIntValue(); left > 0; left -= MOST_A_CALL) {
         rents.add(new Rent(e.getKey(), Math.min(MOST_A_CALL, left)));
@@ -181,7 +205,10 @@
     Replaced away = new Replaced(health.policy().replaceShare());
     for (Machine m : ledger.machines()) {
       // A slow machine is no room for urgent work, and goes back when it is empty.
-      if (m.usable() && !m.health.doubted() && !(health.away(m.health) && away.replaced())) {
+      if (m.usable()
+          && m.heldFor == null
+          && !m.health.doubted()
+          && !(health.away(m.health) && away.replaced())) {
         slots.add(Slot.of(m, now));
       }
     }
@@ -248,7 +275,10 @@
             Comparator.comparingLong((Start x) -> x.at).thenComparingInt(x -> x.slot));
     looked += slots.size();
     for (int i = 0; i < slots.size(); i++) {
-      long at = slots.get(i).start(job.spec);
+      // Room in a zone where its other tasks do not let it be is none (docs/incidents,
+      // room-in-the-other-zone).
+      long at =
+          job.mayBeIn(slots.get(i).variant.zone) ? slots.get(i).start(job.spec) : Long.MAX_VALUE;
       if (at < Long.MAX_VALUE) {
         starts.add(new Start(at, i));
       }
@@ -274,7 +304,9 @@
           // What has to wait although machines are cheap goes to new ones, and leaves the room that
           // others set free to what comes next: otherwise a lasting burst is always just about to
           // find room, and nothing is rented for it.
-          while (fresh < slots.size() && !slots.get(fresh).holds(job.spec)) {
+          while (fresh < slots.size()
+              && !(job.mayBeIn(slots.get(fresh).variant.zone)
+                  && slots.get(fresh).holds(job.spec))) {
             fresh++;
           }
           if (fresh == slots.size() && rented[v.type.index()] < policy.step()) {
@@ -435,7 +467,7 @@
   boolean spareIsLow(int waiting, List<Coming> coming) {
     int n = 0;
     for (Machine m : ledger.machines()) {
-      if (m.usable() && !health.away(m.health)) {
+      if (m.usable() && m.heldFor == null && !health.away(m.health)) {
         n++;
       }
     }
@@ -451,7 +483,10 @@
     double spare = 0;
     if (each < policy.waitingLimit()) {
       for (Machine m : ledger.machines()) {
-        if (m.usable() && !health.away(m.health) && m.booked() < policy.bookedLimit()) {
+        if (m.usable()
+            && m.heldFor == null
+            && !health.away(m.health)
+            && m.booked() < policy.bookedLimit()) {
           unsaturated++;
           spare += policy.bookedLimit() - m.booked();
         }
@@ -486,7 +521,7 @@
           int taken = added.getInt(v);
           if (!job.spec.allows(t.index(), zone, v.spot)
               || refused(v, taken, now)
-              || (job.spec.together() && job.liveCount > job.zoneLive[zone])) {
+              || !job.mayBeIn(zone)) {
             continue;
           }
           // Equal prices spread over the zones, so that one zone's loss takes less.
@@ -542,8 +577,11 @@
         continue;
       }
       n++;
-      load += m.booked() * m.type.cpus();
+      load += (m.heldFor == null ? m.booked() : 1) * m.type.cpus();
       cpus += m.type.cpus();
+      if (m.heldFor != null) {
+        continue; // Held for a gang: as good as booked.
+      }
       // The dearer its CPUs, the sooner an idle machine goes: it must pay for the next boot it
       // saves.
       double dear = least * m.type.cpus() / Math.max(1e-9, m.type.price(m.spot));
@@ -560,7 +598,10 @@
     if (excess > empty.size()) {
       empty.clear();
       for (Machine m : ledger.machines()) {
-        if (ledger.takesWork(m, now) && m.empty() && now - m.emptySinceMs >= SOON_MS) {
+        if (ledger.takesWork(m, now)
+            && m.heldFor == null
+            && m.empty()
+            && now - m.emptySinceMs >= SOON_MS) {
           empty.add(m);
         }
       }
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -32,6 +32,15 @@
    */
   boolean guaranteed;
 
+  /** True when it has waited so long that it goes before guaranteed work of its rank. */
+  boolean aged;
+
+  /**
+   * When as many of its tasks as its team's limit allows at once were under way or done, or -1:
+   * what users mean by "begun", counted by placements.
+   */
+  long begunMs = -1;
+
   int liveCount;
   int runningCount;
   int failures;
@@ -139,6 +148,22 @@
     return guaranteed;
   }
 
+  /** True when it goes before other work of its rank: within a guarantee, or long overdue. */
+  boolean goesFirst() {
+    return guaranteed || aged;
+  }
+
+  /** When it had begun, the largest part of it that may run at once, or -1. */
+  public long begunMs() {
+    return begunMs;
+  }
+
+  /** False where its other tasks keep its next one from a zone. */
+  boolean mayBeIn(int zone) {
+    return !(spec.together() && liveCount > zoneLive[zone])
+        && !(spec.scatter() && zoneLive[zone] >= spec.zoneCap());
+  }
+
   /** True when unresolved attempts of it are in a zone. */
   public boolean liveIn(int zone) {
     return zoneLive[zone] > 0;
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -40,6 +40,9 @@
   /** The token on every message to it: the term, raised now and then ({@link Ledger}). */
   public long token;
 
+  /** The token on the answer to its newest report; 0 before the first one. */
+  long toldToken;
+
   /** When this leader's newest report of it came, or -1. */
   public long reportedMs = -1;
 
@@ -52,6 +55,9 @@
   /** When the cloud will take it, or 0. */
   public long noticeMs;
 
+  /** When its notice came, or 0. */
+  public long noticeSinceMs;
+
   /** No new work goes to it. */
   public boolean draining;
 
@@ -61,6 +67,9 @@
   /** The list said it has failed. */
   public boolean failed;
 
+  /** The gang that this machine is held for: nothing else starts here; null for none. */
+  public Job heldFor;
+
   /** No new work before this time, after it refused a task. */
   long coolUntilMs;
 
@@ -126,6 +135,11 @@
     }
   }
 
+  /** What no unresolved attempt takes: a copy. */
+  public Room room() {
+    return new Room(free.cpus, free.cards, free.memGb);
+  }
+
   /** CPUs that no unresolved attempt takes. */
   public double freeCpus() {
     return free.cpus;
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
 
@@ -34,7 +35,24 @@
   /** For this part of its slack a job with a deadline lets others pass that need no fetch. */
   private static final double YIELD = 0.3;
 
+  /** Users expect every job to have begun by then, the largest ones too (PROTOCOL's additions). */
+  static final double BEGIN_S = 240;
+
+  /**
+   * A job that has waited so long, less the fetch of its image, goes before guaranteed work of its
+   * rank: a large array is beyond every guarantee, and behind a flood of small ones it would never
+   * begin.
+   */
+  private static final double AGED_S = 180;
+
+  /** A job whose image nobody has lets others pass for no more than this part of that time. */
+  private static final double YIELD_BEGIN = 0.4;
+
+  /** Fetches are planned at this rate until a machine is known. */
+  private static final double FETCH_GB_PER_S = 0.3;
+
   private final Ledger ledger;
+  private double fetchGbPerS = FETCH_GB_PER_S;
   private final Turnover turnover = new Turnover(WAIT_S);
   private Machine[] order = new Machine[0];
   private Machine[] open = new Machine[0];
@@ -42,6 +60,7 @@
   private long orderVersion = -1;
   private long preemptedMs = Long.MIN_VALUE / 2;
   private final List<Job> queue = new ArrayList<>();
+  private final BitSet keptFor = new BitSet();
   private long looked;
   private long stops;
 
@@ -89,13 +108,14 @@
       Team team = ledger.team(s);
       j.guaranteed =
           cpus[s.team()] <= team.cpus + Room.EPS && cards[s.team()] <= team.cards + Room.EPS;
+      j.aged = now - j.submittedMs > 1000 * Math.max(0, AGED_S - fetchS(s));
       if (j.waiting()) {
-        ranks.add(new Rank(j, j.submittedMs + 1000 * patience(s)));
+        ranks.add(new Rank(j, j.submittedMs + (long) (1000 * patience(s))));
       }
     }
     ranks.sort(
         Comparator.comparingInt((Rank r) -> r.job.spec.priority())
-            .thenComparingInt(r -> r.job.guaranteed ? 0 : 1)
+            .thenComparingInt(r -> r.job.goesFirst() ? 0 : 1)
             .thenComparingDouble(Rank::dueMs)
             .thenComparing(r -> r.job.spec.id()));
     queue.clear();
@@ -105,9 +125,17 @@
     return queue;
   }
 
-  /** Without a deadline a job counts as due after three times its estimate and a minute. */
-  private static double patience(JobSpec s) {
-    return s.dueS() > 0 ? s.dueS() : 3 * s.estimateS() + 60;
+  /**
+   * Without a deadline a job counts as due after three times its estimate and a minute, and in time
+   * to begin as users expect; the sooner, the longer its image takes: a machine that it gets now
+   * begins only then.
+   */
+  private double patience(JobSpec s) {
+    return s.dueS() > 0 ? s.dueS() : Math.min(3 * s.estimateS() + 60, BEGIN_S) - fetchS(s) / 2;
+  }
+
+  private double fetchS(JobSpec s) {
+    return s.imageGb() / fetchGbPerS;
   }
 
   /**
@@ -117,11 +145,12 @@
    */
   public List<Attempt> place(long now) {
     List<Attempt> made = new ArrayList<>();
-    if (!anyWaiting()) {
+    if (!anyWaiting() && ledger.gathering().size() == 0) {
       return made;
     }
     List<Job> waiting = queue(now);
     sortMachines();
+    ledger.gathering().reserve(waiting, j -> !j.heldBack(now) && !overLimit(j), now);
     findOpen(waiting, now);
     boolean seek = now - preemptedMs >= PREEMPT_EVERY_MS;
     boolean surveyed = false;
@@ -130,8 +159,13 @@
     }
     int stopping = 0;
     int from = 0;
+    keptFor.clear();
     for (int i = 0; i < waiting.size(); i++) {
       Job job = waiting.get(i);
+      if (job.spec.gang() && overLimit(job) && job.goesFirst() && !job.heldBack(now)) {
+        // Its team's limit comes free a task at a time; what stands behind it would take that.
+        keptFor.set(job.spec.team());
+      }
       if (i == 0 || !alike(job, waiting.get(from))) {
         from = i;
         fillCached(waiting, from, made, now);
@@ -159,7 +193,7 @@
   }
 
   private static boolean alike(Job a, Job b) {
-    return a.spec.priority() == b.spec.priority() && a.guaranteed == b.guaranteed;
+    return a.spec.priority() == b.spec.priority() && a.goesFirst() == b.goesFirst();
   }
 
   /**
@@ -180,9 +214,11 @@
   }
 
   /** How long a job lets others of its rank pass: without a deadline, as long as it has slack. */
-  private static double yieldS(JobSpec s) {
+  private double yieldS(JobSpec s) {
     double slack = patience(s) - s.estimateS();
-    return s.dueS() > 0 ? YIELD * slack : slack;
+    // Else the image that nobody has comes last, again and again, until its job begins too late.
+    double most = YIELD_BEGIN * Math.max(0, BEGIN_S - fetchS(s));
+    return s.dueS() > 0 ? YIELD * slack : Math.min(slack, most);
   }
 
   /** True while any task waits. */
@@ -202,6 +238,13 @@
     orderVersion = ledger.machinesVersion();
     order = ledger.machines().toArray(new Machine[0]);
     open = new Machine[order.length];
+    double least = Double.MAX_VALUE;
+    for (Machine m : order) {
+      if (m.type.fetchGbPerS() > 0) {
+        least = Math.min(least, m.type.fetchGbPerS());
+      }
+    }
+    fetchGbPerS = least < Double.MAX_VALUE ? least : FETCH_GB_PER_S;
     // Small and cheap machines first: the large ones stay whole for the tasks that need them.
     Arrays.sort(
         order,
@@ -223,6 +266,7 @@
     for (Machine m : order) {
       if (cpus <= m.free.cpus + Room.EPS
           && memGb <= m.free.memGb + Room.EPS
+          && m.heldFor == null
           && ledger.takesWork(m, now)) {
         open[openCount++] = m;
       }
@@ -242,6 +286,9 @@
   /** Places waiting tasks of a job on open machines, first-fit, that have its image or have not. */
   private void fill(Job job, boolean cached, List<Attempt> made, long now) {
     JobSpec s = job.spec;
+    if (keptFor.get(s.team())) {
+      return;
+    }
     for (int i = 0; i < openCount && !job.pending.isEmpty(); i++) {
       Machine m = open[i];
       looked++;
@@ -377,6 +424,7 @@
     for (Machine m : order) {
       if (m.empty()
           || !m.usable()
+          || m.heldFor != null
           || !s.allows(m.type.index(), m.zone, m.spot)
           || !m.type.fits(s)
           || avoids(s, m)
@@ -482,7 +530,7 @@
     // otherwise it would take the room again at once, and the two would stop each other for ever.
     return guarantee
         && theirs == ours
-        && !a.job.guaranteed
+        && !a.job.goesFirst()
         && a.job.spec.team() != by.spec.team()
         && ledger.team(a.job.spec).borrows(a.job.spec);
   }
--- a/src/main/java/org/mallowroad/core/Served.java
+++ b/src/main/java/org/mallowroad/core/Served.java
@@ -1,14 +1,17 @@
 package org.mallowroad.core;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 
 /**
  * Who is served in a term: of the jobs that should be over by now, how many are, by class and by
- * team. A job should be over at one and a half times its deadline or, without one, after {@link
- * #PATIENCE_MS}. Jobs that an earlier leader ended are not known; those that it left open are.
+ * team, and of the largest jobs of each class, that have to begin within {@link #BEGIN_MS}. A job
+ * should be over at one and a half times its deadline or, without one, after {@link #PATIENCE_MS}.
+ * Jobs that an earlier leader ended are not known; those that it left open are.
  */
 public final class Served {
   /** How long a job without a deadline may take before it counts as due. */
@@ -27,7 +30,21 @@
     }
   }
 
+  /** The largest jobs have to begin by then, as the smallest have. */
+  static final long BEGIN_MS = (long) (Placement.BEGIN_S * 1000);
+
+  /** Of a class the newest so many jobs are looked at for the largest of them. */
+  private static final int SIZES = 128;
+
+  /** The largest tenth of a class's jobs, at least one, are its largest jobs. */
+  private static final int LARGEST_OF = 10;
+
+  /** A job's size, and whether it had begun in time. */
+  private record Begun(int tasks, boolean inTime) {}
+
   private static final class Sum {
+    private final ArrayDeque<Begun> begun = new ArrayDeque<>();
+
     private int done;
     private int late;
     private int open;
@@ -58,7 +75,13 @@
 
   /** A job is done. Services never are: they are served while they run, and not counted. */
   public void done(Job job) {
-    sum(byClass, classes.name(job.spec.taskClass())).done++;
+    Sum s = sum(byClass, classes.name(job.spec.taskClass()));
+    s.done++;
+    long begunMs = job.begunMs() < 0 ? job.lastStartMs() : job.begunMs();
+    s.begun.addLast(new Begun(job.spec.tasks(), begunMs - job.submittedMs() <= BEGIN_MS));
+    if (s.begun.size() > SIZES) {
+      s.begun.removeFirst();
+    }
     sum(byTeam, teams.get(job.spec.team()).name).done++;
   }
 
@@ -74,8 +97,22 @@
     for (Sum s : byTeam.values()) {
       fresh(s);
     }
+    Object2ObjectLinkedOpenHashMap<String, List<Begun>> due =
+        new Object2ObjectLinkedOpenHashMap<>();
+    byClass.forEach((n, s) -> due.put(n, new ArrayList<>(s.begun)));
     for (Job j : open) {
-      if (j.withdrawn() || j.spec.service()) {
+      if (j.withdrawn()) {
+        continue;
+      }
+      boolean inTime = j.begunMs() >= 0 && j.begunMs() - j.submittedMs() <= BEGIN_MS;
+      if (inTime || now - j.submittedMs() > BEGIN_MS) {
+        String name = classes.name(j.spec.taskClass());
+        due.computeIfAbsent(
+                byClass.containsKey(name) || byClass.size() < MOST ? name : OTHERS,
+                k -> new ArrayList<>())
+            .add(new Begun(j.spec.tasks(), inTime));
+      }
+      if (j.spec.service()) {
         continue;
       }
       long age = now - j.submittedMs();
@@ -85,9 +122,23 @@
     List<Line> out = new ArrayList<>();
     byClass.forEach((n, s) -> out.add(line("class", n, s)));
     byTeam.forEach((n, s) -> out.add(line("team", n, s)));
+    due.forEach((n, all) -> largest(n, all, out));
     return out;
   }
 
+  private static void largest(String name, List<Begun> all, List<Line> out) {
+    if (all.isEmpty()) {
+      return;
+    }
+    all.sort(Comparator.comparingInt(Begun::tasks).reversed());
+    int n = Math.max(1, all.size() / LARGEST_OF);
+    int inTime = 0;
+    for (Begun b : all.subList(0, n)) {
+      inTime += b.inTime ? 1 : 0;
+    }
+    out.add(new Line("largest", name, inTime, n - inTime, 0, 0));
+  }
+
   private static void fresh(Sum s) {
     s.late = 0;
     s.open = 0;
--- a/src/main/java/org/mallowroad/core/Team.java
+++ b/src/main/java/org/mallowroad/core/Team.java
@@ -37,6 +37,11 @@
     return new Room(cpusMax - usedCpus, cardsMax - usedCards, Double.MAX_VALUE).holds(job, n);
   }
 
+  /** How many of the job's tasks the limit allows at once, with nothing else of the team. */
+  public int atOnce(JobSpec job) {
+    return new Room(cpusMax, cardsMax, Double.MAX_VALUE).holds(job, job.tasks());
+  }
+
   /** True when {@code n} tasks of the job alone stay within the limit. */
   public boolean couldRun(JobSpec job, int n) {
     return n * job.cpus() <= cpusMax + Room.EPS && n * job.cards() <= cardsMax + Room.EPS;
--- a/src/main/java/org/mallowroad/core/explain/Explainer.java
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -19,6 +19,7 @@
 import org.mallowroad.core.Names;
 import org.mallowroad.core.Placement;
 import org.mallowroad.core.Team;
+import org.mallowroad.core.gang.Gathering;
 
 /**
  * Finds for each open job why tasks of it wait. {@link #begin} looks at every machine and attempt
@@ -365,6 +366,9 @@
           plain(job, Reason.SLOW_MACHINES, Counted.of(t.of(Ledger.Refusal.DOUBTED), "machine"));
       case FAILED_HERE ->
           plain(job, Reason.FAILED_THERE, Counted.of(t.of(Ledger.Refusal.FAILED_HERE), "machine"));
+      case HELD -> plain(job, Reason.HELD, Counted.of(t.of(Ledger.Refusal.HELD), "machine"));
+      case DEAF ->
+          plain(job, Reason.MACHINES_DEAF, Counted.of(t.of(Ledger.Refusal.DEAF), "machine"));
       case QUOTA -> new Finding(Reason.TEAM_LIMIT, job.waitingSinceMs(), -1, -1, limit(team, s));
       default -> plain(job, Reason.LEAVING, Counted.of(t.allowed, "machine"));
     };
@@ -384,8 +388,35 @@
     if (places >= job.waitingCount()) {
       return aboutToStart(job);
     }
-    return unsupplied(
-        job, Reason.GANG, "places for " + places + " of " + job.waitingCount() + " tasks");
+    String detail = "places for " + places + " of " + job.waitingCount() + " tasks";
+    Gathering.State s = ledger.gathering().state(job, now);
+    if (s == null) {
+      return unsupplied(job, Reason.GANG, detail + "; waits for its turn to gather");
+    }
+    String where = s.zone() < 0 ? "any zone" : "zone " + zones.name(s.zone());
+    if (s.givenUp()) {
+      return new Finding(
+          Reason.GANG,
+          job.waitingSinceMs(),
+          s.untilMs(),
+          s.zone(),
+          detail + "; " + where + " could not hold all of it and is left alone until then");
+    }
+    return new Finding(
+        Reason.GANG,
+        job.waitingSinceMs(),
+        s.untilMs(),
+        s.zone(),
+        detail
+            + "; gathers in "
+            + where
+            + ": "
+            + s.places()
+            + " of "
+            + s.need()
+            + " held or soon free, "
+            + Counted.of(s.rented(), "machine")
+            + " rented for it");
   }
 
   private String limit(Team team, JobSpec s) {
--- a/src/main/java/org/mallowroad/core/explain/Reason.java
+++ b/src/main/java/org/mallowroad/core/explain/Reason.java
@@ -36,6 +36,10 @@
   SLOW_MACHINES("only slow or faulty machines have room", "another machine has room"),
   /** Only machines on which a task of it failed have room. */
   FAILED_THERE("its tasks failed where there is room", "another machine has room"),
+  /** The room that there is is held for a gang. */
+  HELD("what has room is held for a gang that gathers", "the gang starts or gives up, in minutes"),
+  /** Machines report, and hear nothing. */
+  MACHINES_DEAF("its machines do not hear", "answers reach them again, or others are rented"),
   /** The machines are being emptied, or refused a task a moment ago. */
   LEAVING("its machines are being returned", "another machine has room"),
   /** Attempts of it may still run on machines that are not heard. */
--- a/src/main/java/org/mallowroad/core/health/MachineHealth.java
+++ b/src/main/java/org/mallowroad/core/health/MachineHealth.java
@@ -25,6 +25,7 @@
   final int zone;
   final double[] excess = new double[SAMPLES];
   final IntOpenHashSet errorJobs = new IntOpenHashSet(4);
+  private final Hearing hearing = new Hearing();
   int samples;
   int overdue;
   long heardMs;
@@ -38,6 +39,11 @@
     this.zone = zone;
   }
 
+  /** Whether what is said to it reaches it. */
+  public Hearing hearing() {
+    return hearing;
+  }
+
   /** What is held against it. */
   public Doubt doubt() {
     return doubt;
--- a/src/main/java/org/mallowroad/world/Checker.java
+++ b/src/main/java/org/mallowroad/world/Checker.java
@@ -1,6 +1,7 @@
 package org.mallowroad.world;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -18,6 +19,15 @@
   /** A poll's failures of so long, while most others are answered, count as forgotten. */
   private static final long FORGOTTEN_MS = 90_000;
 
+  /** Once all troubles are over a job's questions may stay unanswered for so long, no longer. */
+  private static final long FORGOTTEN_AFTER_MS = 75_000;
+
+  /** The largest jobs of a class have to begin by then as well. */
+  private static final long BEGIN_MS = 240_000;
+
+  /** The largest tenth of a class's jobs, at least one. */
+  private static final int LARGEST_OF = 10;
+
   /** A broken rule with what led to it. */
   public record Breach(String rule, long ms, String what, List<String> events) {}
 
@@ -30,6 +40,7 @@
       double cpus,
       String zone,
       boolean together,
+      boolean gang,
       long ms) {}
 
   private static final class Job {
@@ -40,7 +51,9 @@
     private long doneMs = -1;
     private long askedMs = -1;
     private long answeredMs = -1;
+    private long begunMs = -1;
     private final Set<Integer> completed = new HashSet<>();
+    private final Set<String> seen = new HashSet<>();
     private final Map<String, String> on = new LinkedHashMap<>();
     private final List<String> events = new ArrayList<>();
 
@@ -56,8 +69,10 @@
   private final Map<String, Double> used = new TreeMap<>();
   private final Map<String, Set<String>> machines = new TreeMap<>();
   private final List<Breach> breaches = new ArrayList<>();
+  private long calmMs = Long.MAX_VALUE / 2;
   private long started;
   private long killed;
+  private long recoveryMs;
   private long longestMs;
 
   /** For teams with limits in CPUs. */
@@ -82,6 +97,11 @@
     }
   }
 
+  /** All troubles are over from then on. */
+  public void calmFrom(long ms) {
+    calmMs = ms;
+  }
+
   /** A user is about to submit it for the first time. */
   public void submits(Submitted s) {
     jobs.put(s.id(), new Job(s));
@@ -132,6 +152,14 @@
       if (j.accepted && j.askedMs >= 0 && gap >= FORGOTTEN_MS) {
         breach(j, "forgotten", id + " had no answer for " + gap + " ms");
       }
+      // However others fare, from the last trouble on.
+      long calm = now.getAsLong() - Math.max(calmMs, Math.max(j.askedMs, j.answeredMs));
+      if (j.accepted && j.askedMs >= 0 && !j.withdrawAsked && calm >= FORGOTTEN_AFTER_MS) {
+        breach(j, "forgotten", id + " had no answer for " + calm + " ms after all troubles");
+      }
+      if (calm > 0 && j.doneMs < 0 && j.withdrawnMs < 0) {
+        recoveryMs = Math.max(recoveryMs, calm);
+      }
       if (j.askedMs >= 0 && j.doneMs < 0 && j.withdrawnMs < 0) {
         longestMs = Math.max(longestMs, gap);
       }
@@ -191,6 +219,10 @@
     }
     zoneOf.put(machine, zone);
     j.on.put(task, machine);
+    j.seen.add(task);
+    if (j.begunMs < 0 && j.seen.size() >= Math.min(j.spec.tasks, atOnce(j.spec))) {
+      j.begunMs = now.getAsLong();
+    }
     machines.computeIfAbsent(machine, k -> new LinkedHashSet<>()).add(task);
     double sum = used.merge(j.spec.team, j.spec.cpus, Double::sum);
     if (sum > limits.get(j.spec.team) + 1e-6) {
@@ -249,10 +281,25 @@
       breach(null, "nothing_ran", "no task was started");
     }
     for (Job j : jobs.values()) {
+      long from = Math.max(calmMs, Math.max(j.askedMs, j.answeredMs));
+      if (j.accepted
+          && j.doneMs < 0
+          && j.withdrawnMs < 0
+          && now.getAsLong() - from >= FORGOTTEN_AFTER_MS) {
+        breach(j, "forgotten", j.spec.id + " has no answer since " + j.answeredMs);
+      }
       if (j.accepted && j.doneMs < 0 && j.withdrawnMs < 0) {
         breach(j, "stuck", j.spec.id + " was accepted and has no end; on machines: " + j.on);
       }
     }
+    for (Map.Entry<String, double[]> e : begun().entrySet()) {
+      if (2 * e.getValue()[0] < e.getValue()[1]) {
+        breach(
+            null,
+            "begun",
+            e.getKey() + ": " + (int) e.getValue()[0] + " of " + (int) e.getValue()[1]);
+      }
+    }
     for (Map.Entry<String, double[]> e : served(servedMs).entrySet()) {
       if (2 * e.getValue()[0] < e.getValue()[1]) {
         breach(
@@ -277,6 +324,33 @@
     return out;
   }
 
+  private int atOnce(Submitted s) {
+    return (int) Math.floor((limits.get(s.team()) + 1e-6) / s.cpus());
+  }
+
+  /** Of each class's largest jobs those that began in time, and all of them. */
+  public Map<String, double[]> begun() {
+    Map<String, List<Job>> byClass = new TreeMap<>();
+    for (Job j : jobs.values()) {
+      boolean due = j.begunMs >= 0 || now.getAsLong() - j.spec.ms > BEGIN_MS;
+      if (j.accepted && !j.withdrawAsked && due) {
+        byClass.computeIfAbsent("largest " + j.spec.taskClass, k -> new ArrayList<>()).add(j);
+      }
+    }
+    Map<String, double[]> out = new TreeMap<>();
+    byClass.forEach(
+        (key, all) -> {
+          all.sort(Comparator.comparingInt((Job j) -> -j.spec.tasks));
+          double[] of = new double[2];
+          for (Job j : all.subList(0, Math.max(1, all.size() / LARGEST_OF))) {
+            of[0] += j.begunMs >= 0 && j.begunMs - j.spec.ms <= BEGIN_MS ? 1 : 0;
+            of[1]++;
+          }
+          out.put(key, of);
+        });
+    return out;
+  }
+
   /** Jobs that were accepted and whose users have not been told an end. */
   public int unfinished() {
     int n = 0;
@@ -301,6 +375,11 @@
     return longestMs;
   }
 
+  /** The longest that a job had no answer after all troubles. */
+  public long recoveryMs() {
+    return recoveryMs;
+  }
+
   /** Tasks killed by their workers' leases. */
   public long killed() {
     return killed;
--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -53,7 +53,17 @@
     /** The same of all controllers, each in its own time. */
     BACK_ALL(false),
     /** Requests that were delivered come once more, up to a minute later. */
-    COPIES(false);
+    COPIES(false),
+    /** Of some machines reports arrive, and no answer or order gets back to them. */
+    DEAF(false),
+    /** The same of a zone's machines. */
+    DEAF_ZONE(false),
+    /** Copies of reports come late, to any controller, up to several leases later. */
+    LATE_REPORTS(false),
+    /** Transactions get no answer and are carried out seconds later, after newer ones. */
+    LATE_WRITES(false),
+    /** State service and peers are lost, not the workers, the users and the cloud. */
+    WORKERS_ONLY(true);
 
     /** True when it leaves some links of a controller up. */
     public final boolean partial;
--- a/src/main/java/org/mallowroad/world/Network.java
+++ b/src/main/java/org/mallowroad/world/Network.java
@@ -21,6 +21,8 @@
     RESET,
     /** Nothing is said; what was sent arrives when the cut is over. */
     HOLD,
+    /** Nothing is said, and nothing arrives later. */
+    LOST,
     /** Now and then a message is lost and sent again. */
     LOSSY
   }
@@ -32,6 +34,9 @@
     final String name;
     final String zone;
 
+    /** True while nothing that is sent to it arrives, though what it sends does. */
+    boolean deaf;
+
     Party(Kind kind, int index, String name, String zone) {
       this.kind = kind;
       this.index = index;
@@ -95,6 +100,9 @@
     }
   }
 
+  /** What a deaf party's messages run into: nothing is said, and nothing held. */
+  private static final Cut DEAF = new Cut(null, null, Mode.LOST);
+
   private static final long LATENCY_US = 400;
   private static final long AGAIN_US = 220_000;
 
@@ -110,6 +118,15 @@
   /** While above 0, one request in so many that was delivered comes once more. */
   int copyOneIn;
 
+  /** While above 0, one report in so many comes once more, to any controller, much later. */
+  int lateReportOneIn;
+
+  /** While above 0, one transaction in so many is carried out late and never answered. */
+  int lateWriteOneIn;
+
+  /** A late copy of a report comes this much later at the most: several leases. */
+  private static final long LATE_REPORT_US = 60_000_000;
+
   Network(Timeline time, SplittableRandom random) {
     this.time = time;
     this.random = random;
@@ -130,6 +147,9 @@
   }
 
   private Cut cutting(Party a, Party b) {
+    if (b.deaf) {
+      return DEAF;
+    }
     for (Cut c : cuts) {
       if (c.mode != Mode.LOSSY && c.cuts(a, b)) {
         return c;
@@ -192,6 +212,19 @@
                       (status, bytes) ->
                           back(b, a, () -> call.end(() -> answer.answered(status, bytes)))));
         };
+    if (lateWriteOneIn > 0 && target.equals("/multi") && random.nextInt(lateWriteOneIn) == 0) {
+      // Carried out after newer ones of the same sender, who never hears of it.
+      long late = 2_000_000 + random.nextLong(10_000_000);
+      time.after(
+          late, null, () -> time.after(0, b, () -> b.take(a, method, target, body, (s, x) -> {})));
+      return;
+    }
+    if (lateReportOneIn > 0
+        && target.equals("/v1/report")
+        && a.kind == Kind.WORKER
+        && random.nextInt(lateReportOneIn) == 0) {
+      lateReport(a, body);
+    }
     Cut c = cutting(a, b);
     if (c == null) {
       travel(a, b, arrival);
@@ -201,6 +234,9 @@
       return;
     }
     switch (c.mode) {
+      case LOST -> {
+        // The caller's own time is all that ends it.
+      }
       case REFUSE -> time.after(LATENCY_US, a, () -> call.end(() -> answer.failed(false)));
       case RESET -> time.after(LATENCY_US, a, () -> call.end(() -> answer.failed(true)));
       default -> {
@@ -212,6 +248,21 @@
     }
   }
 
+  /** The controllers, to which late copies of reports go. */
+  List<? extends Party> controllers = List.of();
+
+  private void lateReport(Party from, byte[] body) {
+    Party to = controllers.get(random.nextInt(controllers.size()));
+    time.after(
+        2_000_000 + random.nextLong(LATE_REPORT_US),
+        null,
+        () -> {
+          if (to.listens()) {
+            time.after(0, to, () -> to.take(from, "POST", "/v1/report", body, (s, x) -> {}));
+          }
+        });
+  }
+
   /** The same request once more; nobody waits for its answer. */
   private void copy(Party a, Party b, String method, String target, byte[] body) {
     Runnable lands =
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -18,6 +18,8 @@
   private static final long PATIENCE_MS = 60_000;
   private static final long PROBE_MS = 1_000;
   private static final long BACK_MS = 3_000;
+  private static final long PAUSE_WINDOW_MS = 120_000;
+  private static final long MOST_PAUSE_MS = 60_000;
   private static final int CONNECT_TRIES = 3;
   private static final byte[] NOTHING = new byte[0];
 
@@ -27,6 +29,7 @@
     private int bad;
     private int good;
     private long removedMs;
+    private long pauseMs = BACK_MS;
   }
 
   private final Timeline time;
@@ -93,10 +96,13 @@
     s.bad = good ? 0 : s.bad + 1;
     if (s.healthy && s.bad >= 2) {
       s.healthy = false;
+      // The pause doubles with every further removal within two minutes.
+      boolean again = s.removedMs > 0 && time.ms() - s.removedMs < PAUSE_WINDOW_MS;
+      s.pauseMs = again ? Math.min(MOST_PAUSE_MS, 2 * s.pauseMs) : BACK_MS;
       s.removedMs = time.ms();
     } else if (!s.healthy
         && (s.good >= 2 || (s.good == 1 && !s.ever))
-        && time.ms() - s.removedMs >= (s.ever ? BACK_MS : 0)) {
+        && time.ms() - s.removedMs >= (s.ever ? s.pauseMs : 0)) {
       s.healthy = true;
       s.ever = true;
     }
@@ -162,7 +168,7 @@
     open++;
     ObjectNode o = Json.object();
     o.put("name_id", s.id()).put("docket", s.taskClass()).put("crew", s.team());
-    o.put("form", "sweep").put("rank", rank).put("moves", s.tasks());
+    o.put("form", s.gang() ? "gang" : "sweep").put("rank", rank).put("moves", s.tasks());
     o.put("cpus", s.cpus()).put("cards", 0.0).put("mem_gb", 1.0);
     o.put("kit", "i-" + s.taskClass()).put("size_gb", fetchMs / 1000.0);
     o.putNull("builds").put("ground", s.zone()).put("together", s.together());
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/GatheringTest.java
@@ -0,0 +1,277 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.Fleet.Coming;
+import org.mallowroad.core.Fleet.Rent;
+import org.mallowroad.core.Fleet.Variant;
+import org.mallowroad.core.gang.Gathering;
+
+/** Gangs gather: in one place, once, for a bounded time, and never against each other. */
+final class GatheringTest {
+  private static final MachineType BOX =
+      new MachineType(0, "box", 32, 0, 256, 100, 0.4, 2.0, 0.9, 30, new int[] {0, 1});
+  private static final List<MachineType> TYPES = List.of(BOX);
+
+  private static final class World {
+    final Names zones = new Names();
+    final Ledger ledger;
+    final Placement placement;
+    final Fleet fleet;
+    final List<Coming> coming = new ArrayList<>();
+    long now = 1_000_000;
+    long seq;
+    int names;
+
+    World() {
+      zones.intern("a");
+      zones.intern("b");
+      ledger = new Ledger(1, 60, 600, List.of(new Team("team", 9e9, 0, 9e9, 0)), zones);
+      placement = new Placement(ledger);
+      fleet = new Fleet(ledger, FleetPolicy.defaults(), new Objectives());
+    }
+
+    Machine machine(int zone) {
+      Machine m = ledger.meet("n-" + names++, BOX, zone, false, now);
+      ledger.dialogue().report(m, Specs.report(m, ++seq, 1, WorkerReport.State.RUNNING), true, now);
+      return m;
+    }
+
+    Job gang(String id, int tasks) {
+      return ledger.accept(Specs.array(id, tasks, 32).gang().together().spot().build(), 5, 0, now);
+    }
+
+    List<Rent> cycle() {
+      placement.place(now);
+      List<Rent> r = fleet.rents(placement.queue(now), coming, TYPES, now);
+      now += 2_000;
+      return r;
+    }
+
+    /** Two cycles: the first tells what is offered. */
+    List<Rent> begin() {
+      cycle();
+      return cycle();
+    }
+
+    /** The cloud answers a rent with some machines, which are up at once; the rest it refuses. */
+    void give(Rent r, int some) {
+      if (some < r.count()) {
+        ledger.gathering().refused(r.variant(), some, now);
+      }
+      for (int i = 0; i < some; i++) {
+        machine(r.variant().zone());
+      }
+    }
+
+    int held(Job job) {
+      int n = 0;
+      for (Machine m : ledger.machines()) {
+        n += m.heldFor == job ? 1 : 0;
+      }
+      return n;
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest gang(String name, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World()));
+  }
+
+  private static int sum(List<Rent> rents) {
+    return rents.stream().mapToInt(Rent::count).sum();
+  }
+
+  @TestFactory
+  Stream<DynamicTest> gathers() {
+    return Stream.of(
+        gang(
+            "what it lacks is rented once, in one zone, with a few for those that never come",
+            w -> {
+              w.machine(1);
+              w.gang("job-1", 12);
+              List<Rent> rents = w.begin();
+              assertEquals(12, sum(rents)); // 11 lacking and 6% of it
+              assertTrue(rents.stream().allMatch(r -> r.variant().zone() == 1));
+              assertTrue(rents.stream().allMatch(r -> "job-1".equals(r.gang())));
+              rents.forEach(r -> w.coming.add(new Coming(r.variant(), r.count(), w.now, r.gang())));
+              for (int i = 0; i < 5; i++) {
+                assertEquals(List.of(), w.cycle());
+              }
+            }),
+        gang(
+            "its room goes to nobody else, and is free once it has started",
+            w -> {
+              Job job = w.gang("job-1", 3);
+              w.machine(0);
+              w.begin();
+              Machine m = w.ledger.machine("n-0");
+              assertEquals(job, m.heldFor);
+              Job other = w.ledger.accept(Specs.array("job-2", 9, 1).build(), 5, 0, w.now);
+              w.cycle();
+              assertEquals(0, other.liveCount());
+              assertEquals(Ledger.Refusal.HELD, w.ledger.mayStart(other, 0, m, w.now));
+              w.machine(0);
+              w.machine(0);
+              w.cycle();
+              assertEquals(3, job.liveCount());
+              w.cycle();
+              assertNull(m.heldFor);
+            }),
+        gang(
+            "a zone that cannot complete it is given up at once, and another is tried",
+            w -> {
+              Job job = w.gang("job-1", 10);
+              List<Rent> first = w.begin();
+              int zone = first.get(0).variant().zone();
+              w.give(first.get(0), 4);
+              // The ordinary kind of the same zone is asked before it is given up.
+              List<Rent> second = w.cycle();
+              assertEquals(zone, second.get(0).variant().zone());
+              assertNotEquals(first.get(0).variant().spot(), second.get(0).variant().spot());
+              w.give(second.get(0), 0);
+              w.cycle();
+              assertEquals(0, w.held(job));
+              List<Rent> third = w.begin();
+              assertEquals(1 - zone, third.get(0).variant().zone());
+            }),
+        gang(
+            "one that no zone holds rents a bounded number of machines, however long it waits",
+            w -> {
+              w.gang("job-1", 40);
+              int rented = 0;
+              for (int i = 0; i < 300; i++) {
+                for (Rent r : w.cycle()) {
+                  rented += r.count();
+                  w.ledger.gathering().refused(r.variant(), 5, w.now);
+                }
+              }
+              // Ten minutes: a gathering asks for 84 at most, and the pause doubles each time.
+              assertTrue(rented <= 12 * 84, "rented " + rented);
+              assertTrue(rented >= 80, "rented " + rented);
+            }),
+        gang(
+            "two that together exceed a zone start one after the other",
+            w -> {
+              for (int i = 0; i < 10; i++) {
+                w.machine(0);
+              }
+              w.ledger.gathering().refused(new Variant(BOX, 0, true), 10, w.now);
+              w.ledger.gathering().refused(new Variant(BOX, 0, false), 10, w.now);
+              w.ledger.gathering().refused(new Variant(BOX, 1, true), 0, w.now);
+              w.ledger.gathering().refused(new Variant(BOX, 1, false), 0, w.now);
+              Job one = w.gang("job-1", 7);
+              Job two = w.gang("job-2", 7);
+              w.begin();
+              assertEquals(7, one.liveCount());
+              assertEquals(0, two.liveCount());
+              for (Attempt a : live(one)) {
+                w.ledger.resolve(a, Ledger.Outcome.DONE, w.now);
+              }
+              w.begin();
+              assertEquals(7, two.liveCount());
+            }),
+        gang(
+            "tasks that end soon are waited for where the cloud has no more, lower ranks give way",
+            w -> {
+              Machine m = w.machine(0);
+              Machine n = w.machine(0);
+              for (int z = 0; z < 2; z++) {
+                w.ledger.gathering().refused(new Variant(BOX, z, true), 2, w.now);
+                w.ledger.gathering().refused(new Variant(BOX, z, false), 2, w.now);
+              }
+              Job equal = w.ledger.accept(Specs.array("job-1", 1, 8).build(), 5, 0, w.now);
+              Job idle =
+                  w.ledger.accept(Specs.array("job-2", 1, 8).priority(3).build(), 5, 0, w.now);
+              Attempt a = run(w, equal, m);
+              Attempt b = run(w, idle, n);
+              Job job = w.gang("job-3", 2);
+              w.begin();
+              assertEquals(2, w.held(job));
+              assertFalse(a.stopping());
+              assertTrue(b.stopping());
+              w.ledger.resolve(a, Ledger.Outcome.DONE, w.now);
+              w.ledger.resolve(b, Ledger.Outcome.STOPPED, w.now);
+              w.cycle();
+              assertEquals(2, job.liveCount());
+            }),
+        gang(
+            "a withdrawn gang, or one that takes too long, holds nothing",
+            w -> {
+              w.machine(0);
+              Job job = w.gang("job-1", 3);
+              w.begin();
+              assertEquals(1, w.held(job));
+              w.ledger.withdraw(job, w.now);
+              w.cycle();
+              assertEquals(0, w.held(job));
+              assertEquals(0, w.ledger.gathering().size());
+              Job again = w.gang("job-2", 3);
+              w.begin();
+              assertEquals(1, w.held(again));
+              w.coming.add(new Coming(new Variant(BOX, 0, true), 2, w.now, "job-2"));
+              w.now += 131_000;
+              w.cycle();
+              assertEquals(0, w.held(again));
+              Gathering.State s = w.ledger.gathering().state(again, w.now);
+              assertTrue(s.givenUp() && s.untilMs() > w.now);
+            }),
+        gang(
+            "scatter counts no more of a zone than its rules allow",
+            w -> {
+              for (int i = 0; i < 4; i++) {
+                w.machine(0);
+              }
+              Job job =
+                  w.ledger.accept(
+                      Specs.array("job-1", 4, 32).gang().scatter().spot().build(), 5, 0, w.now);
+              List<Rent> rents = w.begin();
+              assertEquals(0, job.liveCount());
+              assertTrue(sum(rents) >= 2);
+              w.machine(1);
+              w.machine(1);
+              w.cycle();
+              assertEquals(4, job.liveCount());
+            }),
+        gang(
+            "a gang is no reason for the averages to rent",
+            w -> {
+              w.machine(0);
+              w.gang("job-1", 30);
+              w.begin();
+              w.coming.add(new Coming(new Variant(BOX, 0, true), 40, w.now, "job-1"));
+              assertEquals(List.of(), w.cycle());
+            }));
+  }
+
+  private static List<Attempt> live(Job job) {
+    List<Attempt> out = new ArrayList<>();
+    for (int t = 0; t < job.spec.tasks(); t++) {
+      if (job.live(t) != null) {
+        out.add(job.live(t));
+      }
+    }
+    return out;
+  }
+
+  private static Attempt run(World w, Job job, Machine m) {
+    Attempt a = w.ledger.start(job, job.pending.dequeueInt(), m, w.now);
+    Specs.commit(w.ledger, w.now);
+    w.ledger
+        .dialogue()
+        .report(m, Specs.report(m, ++w.seq, 1, WorkerReport.State.RUNNING), true, w.now);
+    return a;
+  }
+}
