--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -394,8 +394,11 @@
             "served",
             "late",
             t -> {
+              t.start("job-1/1", "m1", "a");
               t.now += 250_001;
-              t.finish();
+              t.checker.exits("job-1/0", "m1", true);
+              t.checker.exits("job-1/1", "m1", true);
+              t.told("job-1", 200, "done");
             }));
   }
 }
