Weights: staged fetches and machines that hand images on; why tells of a game

Need: teams will serve large language models; replicas of 20 to 100 GB want one image at once, and each machine fetched alone.

Change: core.fetch knows who holds an image for certain, names such machines in a launch (optional field givers, for workers that say hands_on; others get today's messages byte for byte), and holds starts back by the operators' limits alone (deploy/fetch.xml, none by default).

--- a/src/main/java/org/mallowroad/cli/Experiment.java
+++ b/src/main/java/org/mallowroad/cli/Experiment.java
@@ -11,8 +11,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.stream.LongStream;
+import org.mallowroad.core.fetch.FetchPolicy;
 import org.mallowroad.world.Checker;
 import org.mallowroad.world.Fault;
+import org.mallowroad.world.FetchWave;
 import org.mallowroad.world.Plan;
 import org.mallowroad.world.World;
 import picocli.CommandLine.Command;
@@ -57,6 +59,16 @@
           "Histories with jobs that fold games, corrections, and prints that wait for them.")
   private boolean ratings;
 
+  @Option(
+      names = "--waves",
+      description = "Histories in which many machines want the same large images at once.")
+  private boolean waves;
+
+  @Option(
+      names = "--wave-table",
+      description = "Print how long waves of one image take, with and without staging.")
+  private boolean waveTable;
+
   @Option(names = "--without-links", description = "Without the ways round cuts.")
   private boolean without;
 
@@ -90,9 +102,45 @@
       tell(r);
       return r.good() ? 0 : 1;
     }
+    if (waveTable) {
+      return waveTable();
+    }
     return matrix ? matrix() : many();
   }
 
+  /** 350 replicas, two a machine; a source that gives what 16 machines can take. */
+  private int waveTable() {
+    out.println("| machines | GB | failures | way | first s | half s | last s | bound s |");
+    out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (int machines : new int[] {200, 1_000}) {
+      for (double gb : new double[] {20, 60}) {
+        for (boolean failures : new boolean[] {false, true}) {
+          row(machines, gb, failures, "all at once", new FetchPolicy(0, 0, 0, 2, 1), false);
+          row(machines, gb, failures, "source limit 16", new FetchPolicy(16, 0, 0, 2, 1), false);
+          row(machines, gb, failures, "handed on, no limit", new FetchPolicy(0, 0, 1, 2, 1), true);
+          row(machines, gb, failures, "handed on, limit 16", new FetchPolicy(16, 0, 1, 2, 1), true);
+        }
+      }
+    }
+    return 0;
+  }
+
+  private void row(
+      int machines, double gb, boolean failures, String way, FetchPolicy p, boolean handsOn) {
+    FetchWave.Setting s = new FetchWave.Setting(machines, 350, gb, p, handsOn, failures);
+    FetchWave.Figures f = new FetchWave(s, from).play();
+    out.printf(
+        "| %d | %.0f | %s | %s | %d | %d | %d | %d |%n",
+        machines,
+        gb,
+        failures ? "a holder a minute" : "none",
+        way,
+        f.firstS(),
+        f.halfS(),
+        f.lastS(),
+        FetchWave.bound(s));
+  }
+
   /** A row for each cut: the worst and the sums of several seeds. */
   private int matrix() throws IOException {
     out.println("| cut | of | mode | way | killed | takeovers | workers s | users s |");
@@ -183,6 +231,9 @@
   }
 
   private Plan plan(long seed) {
+    if (waves) {
+      return Plan.waves(seed, !without);
+    }
     if (ratings) {
       return Plan.ratings(seed, !without);
     }
--- a/src/main/java/org/mallowroad/cli/Look.java
+++ b/src/main/java/org/mallowroad/cli/Look.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.mallowroad.config.BadSettings;
 import org.mallowroad.console.ask.Asker;
 import org.mallowroad.console.report.Report;
@@ -13,6 +15,7 @@
 import org.mallowroad.console.view.Screen;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.ConsoleCodec;
 import org.mallowroad.wire.JobCodec;
 import picocli.CommandLine.Command;
@@ -54,7 +57,11 @@
       mixinStandardHelpOptions = true,
       description = "Shows why a job's tasks wait, what would let them go on, and where they are.")
   static final class Why extends Look {
-    @Parameters(paramLabel = "JOB", description = "The job's id.")
+    private static final Pattern GAME = Pattern.compile("([A-Za-z0-9._-]{1,64})/([0-9]{1,9})");
+
+    @Parameters(
+        paramLabel = "JOB",
+        description = "The job's id, or a league's game, as in pnw-2026/1182: who has it.")
     private String id;
 
     @Option(names = "--json", description = "As JSON.")
@@ -62,6 +69,16 @@
 
     @Override
     int look(Asker asker) {
+      Matcher game = GAME.matcher(id);
+      if (game.matches()) {
+        try {
+          print(asker.game(game.group(1), Long.parseLong(game.group(2))));
+          return 0;
+        } catch (BadMessage e) {
+          System.err.println("mallowroad: the state service: " + e.getMessage());
+          return 3;
+        }
+      }
       if (!JobCodec.ID.matcher(id).matches()) {
         System.err.println("mallowroad: not a job id (they look like job-000412)");
         return 2;
--- a/src/main/java/org/mallowroad/config/OperatorSettings.java
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -7,6 +7,7 @@
 import javax.xml.parsers.DocumentBuilderFactory;
 import javax.xml.parsers.ParserConfigurationException;
 import org.mallowroad.core.FleetPolicy;
+import org.mallowroad.core.fetch.FetchPolicy;
 import org.mallowroad.core.health.HealthPolicy;
 import org.mallowroad.core.links.LinkPolicy;
 import org.w3c.dom.Element;
@@ -21,22 +22,27 @@
     FleetPolicy fleet,
     HealthPolicy health,
     Optional<ConsoleSettings> console,
-    Optional<LinkPolicy> links) {
+    Optional<LinkPolicy> links,
+    FetchPolicy fetches) {
 
   /** What holds without a file. */
   public static OperatorSettings defaults() {
     return new OperatorSettings(
-        FleetPolicy.defaults(), HealthPolicy.defaults(), Optional.empty(), Optional.empty());
+        FleetPolicy.defaults(),
+        HealthPolicy.defaults(),
+        Optional.empty(),
+        Optional.empty(),
+        FetchPolicy.defaults());
   }
 
   /** The same with a console. */
   public OperatorSettings with(ConsoleSettings c) {
-    return new OperatorSettings(fleet, health, Optional.of(c), links);
+    return new OperatorSettings(fleet, health, Optional.of(c), links, fetches);
   }
 
   /** The same with ways round cuts. */
   public OperatorSettings with(LinkPolicy l) {
-    return new OperatorSettings(fleet, health, console, Optional.of(l));
+    return new OperatorSettings(fleet, health, console, Optional.of(l), fetches);
   }
 
   /**
@@ -59,7 +65,11 @@
       throw new BadSettings(file, root.getTagName(), "the root element is mallowroad");
     }
     return new OperatorSettings(
-        fleet(file, root), health(file, root), console(file, root), links(file, root));
+        fleet(file, root),
+        health(file, root),
+        console(file, root),
+        links(file, root),
+        fetches(file, root));
   }
 
   private static FleetPolicy fleet(String file, Element root) throws BadSettings {
@@ -132,6 +142,24 @@
     return Optional.of(p);
   }
 
+  private static FetchPolicy fetches(String file, Element root) throws BadSettings {
+    FetchPolicy d = FetchPolicy.defaults();
+    if (!(root.getElementsByTagName("fetch").item(0) instanceof Element e)) {
+      return d;
+    }
+    return new FetchPolicy(
+        (int) number(file, e, "source-limit", d.source(), 0, 100_000),
+        (int) number(file, e, "machine-limit", d.machine(), 0, 100),
+        (int) number(file, e, "takers", d.takers(), 0, 100),
+        (int) number(file, e, "across", d.across(), 1, 100),
+        number(file, e, "least-gb", d.leastGb(), 0, 1e6));
+  }
+
+  /** The same with limits on fetches. */
+  public OperatorSettings with(FetchPolicy f) {
+    return new OperatorSettings(fleet, health, console, links, f);
+  }
+
   private static long ms(
       String file, Element e, String name, long otherwise, double min, double max)
       throws BadSettings {
--- a/src/main/java/org/mallowroad/console/ask/Asker.java
+++ b/src/main/java/org/mallowroad/console/ask/Asker.java
@@ -203,6 +203,11 @@
     }
   }
 
+  /** How a league's game stands by the records; throws with the reason where they are not read. */
+  public List<String> game(String league, long number) throws BadMessage {
+    return records.game(league, number);
+  }
+
   @Override
   public void close() {
     pool.shutdownNow();
--- a/src/main/java/org/mallowroad/console/ask/RecordReader.java
+++ b/src/main/java/org/mallowroad/console/ask/RecordReader.java
@@ -14,12 +14,16 @@
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.Names;
 import org.mallowroad.core.explain.Picture.JobLine;
+import org.mallowroad.core.fold.Block;
+import org.mallowroad.core.fold.BlockKey;
+import org.mallowroad.core.fold.Fold;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore.Item;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.FoldCodec;
 import org.mallowroad.wire.JobCodec;
 import org.mallowroad.wire.Json;
 
@@ -64,6 +68,38 @@
     }
   }
 
+  /**
+   * How a game stands by the records: a line for each side, and its neighbours that are nobody's.
+   */
+  List<String> game(String league, long number) throws BadMessage {
+    Look look = new Look();
+    BlockKey key = new BlockKey(league, (int) (number / Block.GAMES));
+    Block block = FoldCodec.decode(look.value(Records.fold(key)));
+    List<String> out = new ArrayList<>();
+    for (Map.Entry<Block.Side, Fold> e : block.sides().entrySet()) {
+      if (e.getKey().game() == Block.place(number)) {
+        Fold f = e.getValue();
+        out.add(
+            e.getKey().member()
+                + ": revision "
+                + f.revision()
+                + (f.taken() ? " (taken back) " : " ")
+                + look.fate(f)
+                + (f.base() == null
+                    ? ""
+                    : "; until then revision "
+                        + f.base().revision()
+                        + " by "
+                        + f.base().job()
+                        + " counts"));
+      }
+    }
+    if (out.isEmpty()) {
+      out.add("nobody has claimed it, or whoever did was withdrawn");
+    }
+    return out;
+  }
+
   /** A look and what it has used of its budget. */
   private final class Look {
     private int reads;
@@ -135,6 +171,21 @@
           "");
     }
 
+    private String fate(Fold f) throws BadMessage {
+      if (f.settled()) {
+        return "folded by " + f.job();
+      }
+      if (value(Records.open(f.job())) != null) {
+        return "claimed by " + f.job() + ", which is not over";
+      }
+      JsonNode end = value(Records.end(f.job()));
+      if (end == null) {
+        return "being claimed by " + f.job() + ", which is not accepted yet";
+      }
+      boolean done = end.path("end").asText().equals(Fields.DONE);
+      return done ? "folded by " + f.job() : "released by " + f.job() + ", which was withdrawn";
+    }
+
     private JsonNode value(String key) throws BadMessage {
       ObjectNode o = ask("/kv/" + key);
       return o == null ? null : o.get(Fields.VALUE);
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -130,7 +130,8 @@
             site.teams(),
             site.zones,
             new Health(
-                site.operator.health(), site.zones.size(), site.settings.reportS(), startedMs));
+                site.operator.health(), site.zones.size(), site.settings.reportS(), startedMs),
+            site.operator.fetches());
     this.watchman =
         new Watchman(
             ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
@@ -636,6 +637,9 @@
           ledger.machines().size(),
           Memory.heapBytes() >> 20,
           Memory.processBytes() >> 20);
+      if (ledger.started() > 0) {
+        LOG.info("event=fetches {}", ledger.stages().figures());
+      }
       for (Spending.Kind k : ledger.spending().kinds()) {
         LOG.info(
             "event=spending type={} spot={} machines={} boot={} idle={} starting={} useful={} lost={}",
@@ -720,7 +724,7 @@
             && firm()) {
           a.sent = true;
           a.told = true;
-          orders.add(new Order(Order.Kind.LAUNCH, a.job.spec.id(), a.task, a.number, 0));
+          orders.add(ledger.dialogue().launch(a));
         }
       }
       machine.answeredMs = loop.now();
--- a/src/main/java/org/mallowroad/core/Dialogue.java
+++ b/src/main/java/org/mallowroad/core/Dialogue.java
@@ -57,6 +57,7 @@
     }
     hear(m, r, now);
     if (r.session() > m.session) {
+      ledger.stages().lost(m); // Its cache may be empty.
       m.unfenced.clear(); // Orders for an earlier session are not executed any more.
       m.unclearedMs = -1;
     } else {
@@ -79,6 +80,7 @@
     // A report that waited while this process stood still is as old as the standstill.
     m.reportedMs = health.heard(m.health, now);
     m.address = r.address();
+    m.handsOn = r.handsOn();
     if (r.noticeS() >= 0) {
       m.noticeMs = now + (long) (r.noticeS() * 1000);
       m.noticeSinceMs = m.noticeSinceMs == 0 ? now : m.noticeSinceMs;
@@ -124,7 +126,7 @@
         } else if (mayLaunch) {
           a.sent = true;
           a.told = true;
-          orders.add(order(Order.Kind.LAUNCH, a, 0));
+          orders.add(launch(a));
         }
       } else if (a.phase != Attempt.Phase.RECORDING && fresh && !a.inFlight) {
         ledger.resolve(a, Ledger.Outcome.LOST, now);
@@ -212,12 +214,18 @@
   private void see(Attempt a, WorkerReport.Entry e, long now, List<Order> orders) {
     boolean ran = a.phase == Attempt.Phase.RUNNING || a.phase == Attempt.Phase.FLUSHING;
     switch (e.state()) {
-      case PULLING -> a.phase = Attempt.Phase.PULLING;
+      case PULLING -> {
+        if (a.restored && a.phase == Attempt.Phase.READY) {
+          ledger.stages().found(a, now);
+        }
+        a.phase = Attempt.Phase.PULLING;
+      }
       case RUNNING, FLUSHING -> {
         if (!ran) {
           a.job.runningCount++;
           a.runningSinceMs = now;
           a.machine.useImage(a.job.spec.image(), a.job.spec.imageGb());
+          ledger.stages().runs(a);
         }
         a.phase =
             e.state() == WorkerReport.State.RUNNING
@@ -245,6 +253,14 @@
     };
   }
 
+  /**
+   * A launch as the attempt's worker is to have it: one that can take an image is told from whom.
+   */
+  public Order launch(Attempt a) {
+    List<String> givers = a.machine.handsOn ? ledger.stages().givers(a) : List.of();
+    return new Order(Order.Kind.LAUNCH, a.job.spec.id(), a.task, a.number, 0, givers);
+  }
+
   private static Order order(Order.Kind kind, Attempt a, double graceS) {
     return new Order(kind, a.job.spec.id(), a.task, a.number, graceS);
   }
@@ -275,7 +291,7 @@
         a.inFlight = true;
         a.launchToken = m.token;
         m.unfenced.put(a.key(), m.token);
-        orders.add(order(Order.Kind.LAUNCH, a, 0));
+        orders.add(launch(a));
       } else if (a.stopping()
           && !a.stopSent
           && (a.phase == Attempt.Phase.PULLING || a.phase == Attempt.Phase.RUNNING)) {
--- a/src/main/java/org/mallowroad/core/Fleet.java
+++ b/src/main/java/org/mallowroad/core/Fleet.java
@@ -578,8 +578,8 @@
       n++;
       load += (m.heldFor == null ? m.booked() : 1) * m.type.cpus();
       cpus += m.type.cpus();
-      if (m.heldFor != null) {
-        continue; // Held for a gang: as good as booked.
+      if (m.heldFor != null || ledger.stages().gives(m)) {
+        continue; // Held for a gang, or others fetch from it: as good as booked.
       }
       // The dearer its CPUs, the sooner an idle machine goes: it must pay for the next boot it
       // saves.
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.mallowroad.core.fetch.FetchPolicy;
+import org.mallowroad.core.fetch.Stages;
 import org.mallowroad.core.gang.Gathering;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.core.health.HealthPolicy;
@@ -55,6 +57,8 @@
     HELD,
     /** The machine reports, and nothing that is said to it arrives. */
     DEAF,
+    /** It would have to fetch the image, and as many fetch as the operators allow. */
+    FETCHES,
     /** The machine is slow or faulty, and the job urgent or a gang. */
     DOUBTED,
     /** A task of the job failed on the machine. */
@@ -105,6 +109,7 @@
   private final Health health;
   private final Gathering gathering = new Gathering(this);
   private final Dialogue dialogue;
+  private final Stages stages;
 
   /** An empty ledger for a term that suspects by the default thresholds. */
   public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
@@ -117,9 +122,22 @@
         new Health(HealthPolicy.defaults(), zones.size(), reportS, 0));
   }
 
-  /** An empty ledger for a term; machines whose report is overdue get no work. */
+  /** An empty ledger for a term without limits on fetches. */
   public Ledger(
       long term, double leaseS, double reportS, List<Team> teams, Names zones, Health health) {
+    this(term, leaseS, reportS, teams, zones, health, FetchPolicy.defaults());
+  }
+
+  /** An empty ledger for a term; machines whose report is overdue get no work. */
+  public Ledger(
+      long term,
+      double leaseS,
+      double reportS,
+      List<Team> teams,
+      Names zones,
+      Health health,
+      FetchPolicy fetches) {
+    this.stages = new Stages(fetches, zones.size());
     this.health = health;
     this.freshMs = (long) (reportS * 1250) + 1_500;
     this.term = term;
@@ -184,6 +202,7 @@
       types.set(m.type.index());
       m.images.keySet().forEach(images::set);
     }
+    stages.names(images);
   }
 
   /** The team of a job. */
@@ -239,6 +258,16 @@
     return gathering;
   }
 
+  /** Who fetches which image, and from whom. */
+  public Stages stages() {
+    return stages;
+  }
+
+  /** True when a machine may be asked to hand an image on. */
+  boolean mayGive(Machine m, long now) {
+    return unfit(m, now) == null && !m.health.doubted() && m.noticeMs == 0;
+  }
+
   /** How many zones there are. */
   public int zones() {
     return zones.size();
@@ -479,6 +508,7 @@
     job.lastStartMs = now;
     started++;
     book(a);
+    stages.began(a, m.hasImage(job.spec.image()), x -> mayGive(x, now), now);
     if (job.begunMs < 0 && job.liveCount + job.doneCount() >= team(job.spec).atOnce(job.spec)) {
       job.begunMs = now;
     }
@@ -553,6 +583,7 @@
       team(job.spec).stoppingCpus -= job.spec.cpus();
     }
     a.phase = Attempt.Phase.GONE;
+    stages.gone(a);
     spending.resolved(a, outcome == Outcome.DONE, now);
     job.live[a.task] = null;
     job.liveCount--;
@@ -634,6 +665,7 @@
     }
     machines.remove(m.name);
     gathering.gone(m);
+    stages.lost(m);
     health.gone(m.health);
     spending.gone(m, now);
     machinesVersion++;
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -1,6 +1,7 @@
 package org.mallowroad.core;
 
 import it.unimi.dsi.fastutil.ints.Int2DoubleLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.ints.IntBidirectionalIterator;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import org.mallowroad.core.health.MachineHealth;
@@ -58,6 +59,9 @@
   /** When its notice came, or 0. */
   public long noticeSinceMs;
 
+  /** True when its worker can hand images on to others, and take them; it said so itself. */
+  public boolean handsOn;
+
   /** No new work goes to it. */
   public boolean draining;
 
@@ -123,6 +127,21 @@
     return images.containsKey(image);
   }
 
+  /** True when the images used since leave it in that part of the cache. */
+  public boolean sureOf(int image, double share) {
+    double sum = 0;
+    for (IntBidirectionalIterator it =
+            images.keySet().iterator(images.isEmpty() ? 0 : images.lastIntKey());
+        it.hasPrevious(); ) {
+      int i = it.previousInt();
+      sum += images.get(i);
+      if (i == image) {
+        return sum <= share * type.cacheGb();
+      }
+    }
+    return false;
+  }
+
   /** Remembers an image use; the least recently used ones go when the cache is full. */
   void useImage(int image, double gb) {
     images.putAndMoveToLast(image, gb);
--- a/src/main/java/org/mallowroad/core/Order.java
+++ b/src/main/java/org/mallowroad/core/Order.java
@@ -1,7 +1,20 @@
 package org.mallowroad.core;
 
-/** A command to a worker. */
-public record Order(Kind kind, String job, int task, int attempt, double graceS) {
+import java.util.List;
+
+/**
+ * A command to a worker.
+ *
+ * @param givers where a launch's image may be had from other machines; empty but for workers that
+ *     said that they can take it there
+ */
+public record Order(
+    Kind kind, String job, int task, int attempt, double graceS, List<String> givers) {
+  /** Without givers. */
+  public Order(Kind kind, String job, int task, int attempt, double graceS) {
+    this(kind, job, task, attempt, graceS, List.of());
+  }
+
   /** What is ordered. */
   public enum Kind {
     /** Start a task. */
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -301,6 +301,9 @@
         if (no == Ledger.Refusal.QUOTA) {
           return; // No other machine helps.
         }
+        if (no == Ledger.Refusal.FETCHES) {
+          ledger.stages().heldBack();
+        }
         if (no != null) {
           break;
         }
@@ -318,6 +321,12 @@
    */
   public Ledger.Refusal refusal(Job job, Machine m, long now) {
     Ledger.Refusal no = ledger.mayStart(job, job.pending.firstInt(), m, now);
+    if (no == null
+        && !job.spec.gang()
+        && !m.hasImage(job.spec.image())
+        && !ledger.stages().mayFetch(job.spec, m, x -> ledger.mayGive(x, now))) {
+      return Ledger.Refusal.FETCHES;
+    }
     if (no == null && avoids(job.spec, m)) {
       return Ledger.Refusal.DOUBTED;
     }
--- a/src/main/java/org/mallowroad/core/WorkerReport.java
+++ b/src/main/java/org/mallowroad/core/WorkerReport.java
@@ -2,7 +2,11 @@
 
 import java.util.List;
 
-/** A worker's message about itself and the tasks it holds. */
+/**
+ * A worker's message about itself and the tasks it holds.
+ *
+ * @param handsOn true when the worker takes images from other workers, and hands its own on
+ */
 public record WorkerReport(
     String machine,
     String address,
@@ -13,7 +17,23 @@
     long seq,
     long token,
     double noticeS,
-    List<Entry> entries) {
+    List<Entry> entries,
+    boolean handsOn) {
+
+  /** Of a worker that hands no images on. */
+  public WorkerReport(
+      String machine,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      long session,
+      long seq,
+      long token,
+      double noticeS,
+      List<Entry> entries) {
+    this(machine, address, type, zone, spot, session, seq, token, noticeS, entries, false);
+  }
 
   /** What a worker says of a task. */
   public enum State {
--- a/src/main/java/org/mallowroad/core/explain/Explainer.java
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -369,6 +369,14 @@
           plain(job, Reason.SLOW_MACHINES, Counted.of(t.of(Ledger.Refusal.DOUBTED), "machine"));
       case FAILED_HERE ->
           plain(job, Reason.FAILED_THERE, Counted.of(t.of(Ledger.Refusal.FAILED_HERE), "machine"));
+      case FETCHES ->
+          plain(
+              job,
+              Reason.STAGED,
+              Counted.of(ledger.stages().fromSource(), "machine")
+                  + " fetch from the source now, "
+                  + ledger.stages().holders(job.spec.image())
+                  + " hold the image");
       case HELD -> plain(job, Reason.HELD, Counted.of(t.of(Ledger.Refusal.HELD), "machine"));
       case DEAF ->
           plain(job, Reason.MACHINES_DEAF, Counted.of(t.of(Ledger.Refusal.DEAF), "machine"));
@@ -565,6 +573,7 @@
             Ledger.Refusal.ZONE,
             Ledger.Refusal.FAILED_HERE,
             Ledger.Refusal.DOUBTED,
+            Ledger.Refusal.FETCHES,
             Ledger.Refusal.QUOTA);
 
     private final int[] of = new int[Ledger.Refusal.values().length];
@@ -611,6 +620,7 @@
   private record Shape(
       int team,
       boolean careful,
+      int image,
       double cpus,
       double cards,
       double memGb,
@@ -630,6 +640,7 @@
         new Shape(
             s.team(),
             s.gang() || Placement.urgent(s),
+            ledger.stages().limited() ? s.image() : -1,
             s.cpus(),
             s.cards(),
             s.memGb(),
--- a/src/main/java/org/mallowroad/core/explain/Reason.java
+++ b/src/main/java/org/mallowroad/core/explain/Reason.java
@@ -38,6 +38,9 @@
   SLOW_MACHINES("only slow or faulty machines have room", "another machine has room"),
   /** Only machines on which a task of it failed have room. */
   FAILED_THERE("its tasks failed where there is room", "another machine has room"),
+  /** The operators' limit on fetches. */
+  STAGED(
+      "waits for its turn to fetch its image", "a fetch ends, or a machine that holds it has room"),
   /** The room that there is is held for a gang. */
   HELD("what has room is held for a gang that gathers", "the gang starts or gives up, in minutes"),
   /** Machines report, and hear nothing. */
--- a/src/main/java/org/mallowroad/wire/Fields.java
+++ b/src/main/java/org/mallowroad/wire/Fields.java
@@ -59,6 +59,12 @@
   public static final String GRACE_S = "leeway_s";
   public static final String LEADER = "steward";
 
+  /** Optional, ours: the worker takes images from other workers, and hands its own on. */
+  public static final String HANDS_ON = "hands_on";
+
+  /** Optional, ours: addresses of workers that hold a launch's image. */
+  public static final String GIVERS = "givers";
+
   // Cloud.
   public static final String LABEL = "label";
   public static final String CACHE_GB = "local_gb";
--- a/src/main/java/org/mallowroad/wire/WorkerCodec.java
+++ b/src/main/java/org/mallowroad/wire/WorkerCodec.java
@@ -54,7 +54,8 @@
         Json.integer(o, Fields.SEQ, 0, Long.MAX_VALUE),
         o.get(Fields.TOKEN) == null ? 0 : Json.integer(o, Fields.TOKEN, 0, Long.MAX_VALUE),
         Json.amountOr(o, Fields.NOTICE_S, 1e9, -1),
-        entries);
+        entries,
+        o.path(Fields.HANDS_ON).asBoolean(false));
   }
 
   /** A direct message to a worker's session. */
@@ -80,6 +81,10 @@
           });
       e.put(Fields.TASK, c.job() + "/" + c.task());
       e.put(Fields.ATTEMPT, c.attempt());
+      if (!c.givers().isEmpty()) {
+        ArrayNode givers = e.putArray(Fields.GIVERS);
+        c.givers().forEach(givers::add);
+      }
       if (c.kind() == Order.Kind.STOP) {
         e.put(Fields.GRACE_S, c.graceS());
       }
--- a/src/main/java/org/mallowroad/world/CloudModel.java
+++ b/src/main/java/org/mallowroad/world/CloudModel.java
@@ -53,6 +53,13 @@
     this.maker = maker;
   }
 
+  private final List<WorkerModel> all = new ArrayList<>();
+
+  /** Images that came from another machine, on all machines that there ever were. */
+  long taken() {
+    return all.stream().mapToLong(w -> w.taken).sum();
+  }
+
   /** The workers of all machines that it has. */
   List<WorkerModel> workers() {
     List<WorkerModel> out = new ArrayList<>();
@@ -130,6 +137,7 @@
     for (int i = 0; i < r.path("how_many").asInt() && there < most; i++, there++) {
       String name = String.format("n-%06d", ++count);
       WorkerModel w = maker.apply(new String[] {name, zone});
+      all.add(w);
       machines.put(name, new Rented(w, time.ms()));
       names.add(name);
       time.after((BOOT_MS / 2 + random.nextLong(BOOT_MS)) * 1000, w, w::up);
--- /dev/null
+++ b/src/main/java/org/mallowroad/world/FetchWave.java
@@ -0,0 +1,281 @@
+package org.mallowroad.world;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Machine;
+import org.mallowroad.core.MachineType;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.Order;
+import org.mallowroad.core.Placement;
+import org.mallowroad.core.Team;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.fetch.FetchPolicy;
+import org.mallowroad.core.health.Health;
+import org.mallowroad.core.health.HealthPolicy;
+import org.mallowroad.core.hold.Ties;
+
+/**
+ * How long a wave takes in which many machines want one image: the decisions themselves over a
+ * ledger in virtual time, a source whose rate all share, workers that fetch from it or from each
+ * other at a machine's rate. No I/O, no processor time.
+ */
+public final class FetchWave {
+  /** One wave to play. */
+  public record Setting(
+      int machines,
+      int replicas,
+      double gb,
+      FetchPolicy policy,
+      boolean handsOn,
+      boolean failures) {}
+
+  /** Seconds until the first, half and the last of the replicas run; source fetches. */
+  public record Figures(int firstS, int halfS, int lastS, long fetches) {}
+
+  private static final double RATE = 0.4;
+  private static final int SLOTS = 2;
+  private static final int MOST_S = 20_000;
+
+  /** The source gives this many times what a machine can take. */
+  private static final double SOURCE = 16;
+
+  private static final class Worker {
+    private final Machine machine;
+    private double left;
+    private boolean holds;
+    private Worker giver;
+    private int giving;
+    private long seq = 1;
+
+    Worker(Machine machine) {
+      this.machine = machine;
+    }
+  }
+
+  private final Setting setting;
+  private final SplittableRandom random;
+  private final Names zones = new Names();
+  private final Ledger ledger;
+  private final Placement placement;
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final MachineType type;
+  private long now = 1_000;
+  private int names;
+
+  /** Over a setting and a seed. */
+  public FetchWave(Setting setting, long seed) {
+    this.setting = setting;
+    this.random = new SplittableRandom(seed);
+    zones.intern("a");
+    zones.intern("b");
+    type = new MachineType(0, "t", SLOTS, 0, 64, 400, RATE, 1, 0.5, 30, new int[] {0, 1});
+    ledger =
+        new Ledger(
+            1,
+            60,
+            2,
+            List.of(new Team("t", 1e9, 0, 1e9, 0)),
+            zones,
+            new Health(HealthPolicy.defaults(), 2, 2, 0),
+            setting.policy());
+    placement = new Placement(ledger);
+    for (int i = 0; i < setting.machines(); i++) {
+      rise();
+    }
+  }
+
+  private void rise() {
+    Machine m = ledger.meet("n-" + names, type, names % 2, false, now);
+    names++;
+    Worker w = new Worker(m);
+    workers.put(m.name + ":1", w);
+    report(w, WorkerReport.State.PULLING);
+  }
+
+  private List<Order> report(Worker w, WorkerReport.State state) {
+    List<WorkerReport.Entry> all = new ArrayList<>();
+    for (Attempt a : w.machine.attempts()) {
+      if (a.phase != Attempt.Phase.RECORDING && a.phase != Attempt.Phase.READY) {
+        all.add(new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, state, null));
+      }
+    }
+    return said(w, all);
+  }
+
+  private List<Order> said(Worker w, List<WorkerReport.Entry> all) {
+    Machine m = w.machine;
+    WorkerReport r =
+        new WorkerReport(
+            m.name,
+            m.name + ":1",
+            type.name(),
+            zones.name(m.zone),
+            false,
+            1,
+            w.seq++,
+            1,
+            -1,
+            all,
+            setting.handsOn());
+    return ledger.report(m, r, true, now);
+  }
+
+  /** Plays it until all replicas run. */
+  public Figures play() {
+    JobSpec spec =
+        new JobSpec(
+            "job-1",
+            0,
+            0,
+            true,
+            false,
+            2,
+            setting.replicas(),
+            1,
+            0,
+            1,
+            0,
+            setting.gb(),
+            null,
+            -1,
+            false,
+            false,
+            true,
+            0,
+            0,
+            0,
+            0,
+            0,
+            Ties.NONE);
+    ledger.accept(spec, 1, 0, now);
+    int first = -1;
+    int half = -1;
+    for (int s = 0; s < MOST_S; s++) {
+      now += 1_000;
+      if (setting.failures() && half < 0 && s % 60 == 59) {
+        fail();
+      }
+      placement.place(now);
+      commit();
+      tell();
+      fetch();
+      int running = 0;
+      for (Machine m : ledger.machines()) {
+        for (Attempt a : m.attempts()) {
+          running += a.phase == Attempt.Phase.RUNNING ? 1 : 0;
+        }
+      }
+      first = first < 0 && running > 0 ? s : first;
+      half = half < 0 && 2 * running >= setting.replicas() ? s : half;
+      if (running == setting.replicas()) {
+        return new Figures(first, half, s, names);
+      }
+    }
+    return new Figures(first, half, -1, names);
+  }
+
+  /** A holder dies, in the middle of giving if any does; another machine comes. */
+  private void fail() {
+    List<Worker> some = new ArrayList<>(workers.values());
+    some.removeIf(w -> !w.holds);
+    if (some.isEmpty()) {
+      return;
+    }
+    some.sort((a, b) -> Integer.compare(b.giving, a.giving));
+    Worker w = some.get(random.nextInt(Math.min(3, some.size())));
+    workers.remove(w.machine.name + ":1");
+    ledger.machineGone(w.machine, now);
+    for (Worker t : workers.values()) {
+      if (t.giver == w) {
+        t.giver = null; // Falls back to the source, from where it was.
+      }
+    }
+    rise();
+  }
+
+  private void commit() {
+    for (Chunk c : new ArrayList<>(ledger.dirty())) {
+      List<Attempt> recorded = new ArrayList<>();
+      for (int t = c.from(); t < c.to(); t++) {
+        if (c.job.live(t) != null && c.job.live(t).phase == Attempt.Phase.RECORDING) {
+          recorded.add(c.job.live(t));
+        }
+      }
+      ledger.committed(c, 9, c.changes, recorded, now);
+    }
+  }
+
+  /** Launches go to the workers, which begin to fetch. */
+  private void tell() {
+    for (Worker w : workers.values()) {
+      List<Order> orders =
+          report(w, w.holds ? WorkerReport.State.RUNNING : WorkerReport.State.PULLING);
+      boolean launched = false;
+      for (Order o : orders) {
+        launched |= o.kind() == Order.Kind.LAUNCH;
+        if (o.kind() == Order.Kind.LAUNCH && !w.holds && w.left <= 0) {
+          w.left = setting.gb();
+          for (String g : o.givers()) {
+            Worker from = workers.get(g);
+            if (w.giver == null && from != null && from.holds) {
+              w.giver = from;
+              from.giving++;
+            }
+          }
+        }
+      }
+      if (launched) {
+        List<WorkerReport.Entry> all = new ArrayList<>();
+        WorkerReport.State s = w.holds ? WorkerReport.State.RUNNING : WorkerReport.State.PULLING;
+        for (Attempt a : w.machine.attempts()) {
+          if (a.phase != Attempt.Phase.RECORDING) {
+            all.add(new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, s, null));
+          }
+        }
+        said(w, all);
+      }
+    }
+  }
+
+  private void fetch() {
+    int atSource = 0;
+    for (Worker w : workers.values()) {
+      atSource += w.left > 0 && w.giver == null ? 1 : 0;
+    }
+    double share = RATE * Math.min(1, SOURCE / Math.max(1, atSource));
+    for (Worker w : workers.values()) {
+      if (w.left <= 0) {
+        continue;
+      }
+      w.left -= w.giver == null ? share : RATE / Math.max(1, w.giver.giving);
+      if (w.left <= 0) {
+        w.holds = true;
+        if (w.giver != null) {
+          w.giver.giving--;
+          w.giver = null;
+        }
+        report(w, WorkerReport.State.RUNNING);
+      }
+    }
+  }
+
+  /** The least time by physics: all that hold hand on at once, beside the source. */
+  public static int bound(Setting s) {
+    int wanted = Math.min(s.machines(), (s.replicas() + SLOTS - 1) / SLOTS);
+    double fetchS = s.gb() / RATE;
+    double have = 0;
+    int stages = 0;
+    while (have < wanted) {
+      have = s.handsOn() ? 2 * have + SOURCE : have + SOURCE;
+      stages++;
+    }
+    return (int) Math.ceil(stages * fetchS);
+  }
+}
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import org.mallowroad.net.Caller;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
@@ -59,6 +60,21 @@
     }
   }
 
+  /** Where workers listen. */
+  Function<String, WorkerModel> workers = a -> null;
+
+  private final Map<String, String> images = new HashMap<>();
+
+  @Override
+  public String image(String job) {
+    return images.get(job);
+  }
+
+  @Override
+  public WorkerModel at(String address) {
+    return workers.apply(address);
+  }
+
   @Override
   public long[] times(String job) {
     return times.get(job);
@@ -170,6 +186,7 @@
       long withdrawAfterMs,
       ObjectNode ties) {
     times.put(s.id(), new long[] {runMs, fetchMs});
+    images.put(s.id(), "i-" + s.taskClass());
     checker.submits(s);
     open++;
     ObjectNode o = Json.object();
--- a/src/test/java/org/mallowroad/cli/LookTest.java
+++ b/src/test/java/org/mallowroad/cli/LookTest.java
@@ -29,6 +29,7 @@
       new Case(3, "neither a node nor the state service answers", "why", "job-1", "--nodes", none),
       new Case(2, "--nodes: here: host:port is needed", "top", "--once", "--nodes", "here"),
       new Case(2, "--state: there: host:port is needed", "status", "--state", "there"),
+      new Case(3, "the state service:", "why", "l/7", "--nodes", none, "--state", none),
       new Case(3, "", "top", "--once", "--nodes", none),
       new Case(3, "", "top", "--json", "--nodes", none),
       new Case(3, "", "status", "--nodes", none, "--state", none),
--- a/src/test/java/org/mallowroad/config/SettingsTest.java
+++ b/src/test/java/org/mallowroad/config/SettingsTest.java
@@ -96,6 +96,8 @@
         "<mallowroad><fleet booked-limit='x'/></mallowroad>|fleet/booked-limit",
         "<mallowroad><health slow-factor='0.5'/></mallowroad>|health/slow-factor",
         "<mallowroad><health still-s='none'/></mallowroad>|health/still-s",
+        "<mallowroad><fetch source-limit='-1'/></mallowroad>|fetch/source-limit",
+        "<mallowroad><fetch across='0'/></mallowroad>|fetch/across",
         "<mallowroad><links row-s='0'/></mallowroad>|links/row-s",
         "<mallowroad><links row-s='5' fresh-s='6'/></mallowroad>|links/fresh-s",
         "<mallowroad><links hedge-ms='soon'/></mallowroad>|links/hedge-ms",
@@ -123,6 +125,8 @@
     assertEquals(
         LinkPolicy.defaults(), OperatorSettings.load("deploy/links.xml").links().orElseThrow());
     assertTrue(OperatorSettings.defaults().links().isEmpty());
+    assertEquals(16, OperatorSettings.load("deploy/fetch.xml").fetches().source());
+    assertEquals(0, OperatorSettings.defaults().fetches().source());
   }
 
   @Test
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
+import org.mallowroad.console.ask.Asker;
 import org.mallowroad.core.Term;
 import org.mallowroad.standin.CloudStandIn;
 import org.mallowroad.standin.StateStandIn;
@@ -265,6 +266,10 @@
             "POST",
             "/v1/jobs",
             job("job-000000", 1, 1).replace("\"stow_s\"", again + "\"stow_s\"")));
+    try (Asker asker = new Asker(List.of(), "127.0.0.1:" + state.port())) {
+      assertEquals(List.of("m: revision 1 folded by job-000000"), asker.game("l", 7));
+      assertTrue(asker.game("l", 700).get(0).startsWith("nobody has claimed it"));
+    }
     assertEquals(0, cloud.ranTwice);
   }
 
--- /dev/null
+++ b/src/test/java/org/mallowroad/core/StagesTest.java
@@ -0,0 +1,317 @@
+package org.mallowroad.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.core.fetch.FetchPolicy;
+import org.mallowroad.core.health.Health;
+import org.mallowroad.core.health.HealthPolicy;
+import org.mallowroad.wire.Json;
+import org.mallowroad.wire.WorkerCodec;
+import org.mallowroad.world.FetchWave;
+
+/** Who fetches, how many at once, and from whom; today's workers see nothing of it. */
+final class StagesTest {
+  private static final class World {
+    final Names zones = new Names();
+    final MachineType type =
+        new MachineType(0, "t", 1, 0, 64, 40, 0.4, 1, 0.5, 30, new int[] {0, 1});
+    final Ledger ledger;
+    final Placement placement;
+    final List<Machine> machines = new ArrayList<>();
+    final boolean handsOn;
+    long now = 1_000_000;
+    long seq;
+    int jobs;
+
+    World(FetchPolicy p, boolean handsOn) {
+      zones.intern("a");
+      zones.intern("b");
+      this.handsOn = handsOn;
+      Health h = new Health(HealthPolicy.defaults(), 2, 600, now);
+      ledger = new Ledger(1, 9_000, 600, List.of(new Team("t", 1e9, 0, 1e9, 0)), zones, h, p);
+      placement = new Placement(ledger);
+    }
+
+    Machine machine(int zone) {
+      Machine m = ledger.meet("n-" + machines.size(), type, zone, false, now);
+      machines.add(m);
+      report(m, null);
+      return m;
+    }
+
+    /** A report in which all that was launched is in the state. */
+    List<Order> report(Machine m, WorkerReport.State state) {
+      return report(m, state, 1);
+    }
+
+    List<Order> report(Machine m, WorkerReport.State state, long session) {
+      List<WorkerReport.Entry> all = new ArrayList<>();
+      for (Attempt a : m.attempts()) {
+        if (state != null && a.phase != Attempt.Phase.RECORDING && a.session == session) {
+          all.add(new WorkerReport.Entry(a.job.spec.id(), a.task, a.number, state, null));
+        }
+      }
+      String zone = zones.name(m.zone);
+      return ledger.report(
+          m,
+          new WorkerReport(
+              m.name, m.name + ":1", "t", zone, false, session, ++seq, 1, -1, all, handsOn),
+          true,
+          now);
+    }
+
+    /** A job with its own image of so many GB, or that of the first one. */
+    Job job(int tasks, int image) {
+      JobSpec s =
+          new JobSpec(
+              "job-" + jobs++,
+              0,
+              0,
+              true,
+              false,
+              2,
+              tasks,
+              1,
+              0,
+              1,
+              image,
+              20,
+              null,
+              -1,
+              false,
+              false,
+              true,
+              0,
+              0,
+              0,
+              0,
+              0,
+              org.mallowroad.core.hold.Ties.NONE);
+      return ledger.accept(s, 5, 0, now);
+    }
+
+    void place() {
+      placement.place(now);
+      Specs.commit(ledger, now);
+    }
+
+    List<String> givers(Machine m) {
+      for (Order o : report(m, null)) {
+        if (o.kind() == Order.Kind.LAUNCH) {
+          return o.givers();
+        }
+      }
+      return List.of("no launch");
+    }
+  }
+
+  private interface Case {
+    void run(World w);
+  }
+
+  private static DynamicTest stage(String name, FetchPolicy p, boolean handsOn, Case c) {
+    return DynamicTest.dynamicTest(name, () -> c.run(new World(p, handsOn)));
+  }
+
+  private static final FetchPolicy NONE = FetchPolicy.defaults();
+  private static final FetchPolicy TWO = new FetchPolicy(2, 0, 1, 2, 1);
+
+  @TestFactory
+  Stream<DynamicTest> stages() {
+    return Stream.of(
+        stage(
+            "without a limit all fetch at once, whatever their workers can",
+            NONE,
+            true,
+            w -> {
+              for (int i = 0; i < 6; i++) {
+                w.machine(i % 2);
+              }
+              Job j = w.job(6, 0);
+              w.place();
+              assertEquals(6, j.liveCount());
+              assertEquals(6, w.ledger.stages().fromSource());
+            }),
+        stage(
+            "a limit of the source holds the others back until one holds the image",
+            TWO,
+            true,
+            w -> {
+              for (int i = 0; i < 6; i++) {
+                w.machine(0);
+              }
+              Job j = w.job(6, 0);
+              w.place();
+              assertEquals(2, j.liveCount());
+              Machine first = busy(w).get(0);
+              assertEquals(List.of(), w.givers(first));
+              w.report(first, WorkerReport.State.PULLING);
+              w.place();
+              assertEquals(2, j.liveCount());
+              w.report(first, WorkerReport.State.RUNNING);
+              w.place();
+              // One more from the source, and one that the holder hands on to.
+              assertEquals(4, j.liveCount());
+              assertEquals(2, w.ledger.stages().fromSource());
+              int handed = 0;
+              for (Machine m : busy(w)) {
+                handed += w.givers(m).equals(List.of(first.address)) ? 1 : 0;
+              }
+              assertEquals(1, handed);
+              assertTrue(w.ledger.stages().gives(first));
+            }),
+        stage(
+            "today's workers are told of nobody, and the limit is kept for them as well",
+            TWO,
+            false,
+            w -> {
+              for (int i = 0; i < 6; i++) {
+                w.machine(0);
+              }
+              Job j = w.job(6, 0);
+              w.place();
+              busy(w).forEach(m -> w.report(m, WorkerReport.State.RUNNING));
+              w.place();
+              assertEquals(4, j.liveCount());
+              for (Machine m : busy(w)) {
+                assertTrue(w.givers(m).isEmpty() || w.givers(m).contains("no launch"));
+              }
+            }),
+        stage(
+            "who has a half, is slow, noticed or of a session before is no giver",
+            NONE,
+            true,
+            w -> {
+              Machine a = w.machine(0);
+              Job j = w.job(4, 0);
+              w.place();
+              w.report(a, WorkerReport.State.PULLING);
+              Machine b = w.machine(0);
+              w.place();
+              assertEquals(List.of(), w.givers(b));
+              w.report(a, WorkerReport.State.RUNNING);
+              a.noticeMs = w.now + 9_000;
+              Machine c = w.machine(0);
+              w.place();
+              assertEquals(List.of(), w.givers(c));
+              a.noticeMs = 0;
+              w.report(a, null, 2);
+              assertEquals(0, w.ledger.stages().holders(0));
+              assertEquals(3, j.liveCount() + j.waitingCount() - 1);
+            }),
+        stage(
+            "a copy or two cross a zone's border, then its own holder hands on",
+            new FetchPolicy(1, 0, 9, 2, 1),
+            true,
+            w -> {
+              Machine a = w.machine(0);
+              w.job(9, 0);
+              w.place();
+              w.report(a, WorkerReport.State.RUNNING);
+              for (int i = 0; i < 5; i++) {
+                w.machine(1);
+              }
+              w.place();
+              // Two from the other zone, and one from the source.
+              assertEquals(1 + 2 + 1, busy(w).size());
+              Machine own = null;
+              for (Machine m : busy(w)) {
+                if (m.zone == 1 && w.givers(m).contains(a.address)) {
+                  own = m;
+                }
+              }
+              w.report(own, WorkerReport.State.RUNNING);
+              w.place();
+              int from = 0;
+              for (Machine m : busy(w)) {
+                from += w.givers(m).equals(List.of(own.address)) ? 1 : 0;
+              }
+              assertEquals(2, from);
+            }),
+        stage(
+            "a giver that is gone frees its takers' places, and what it held is forgotten",
+            TWO,
+            true,
+            w -> {
+              for (int i = 0; i < 5; i++) {
+                w.machine(0);
+              }
+              w.job(5, 0);
+              w.place();
+              Machine first = busy(w).get(0);
+              w.report(first, WorkerReport.State.RUNNING);
+              w.place();
+              w.ledger.machineGone(first, w.now);
+              assertEquals(0, w.ledger.stages().holders(0));
+              w.ledger.machines().forEach(m -> assertFalse(w.ledger.stages().gives(m)));
+              for (Machine m : List.copyOf(w.ledger.machines())) {
+                w.ledger.machineGone(m, w.now);
+              }
+              assertEquals(0, w.ledger.stages().fromSource());
+              assertEquals(0, w.ledger.stages().images());
+            }),
+        stage(
+            "what later images may have pushed out of a cache is told to nobody",
+            NONE,
+            true,
+            w -> {
+              Machine a = w.machine(0);
+              Job j = w.job(1, 0);
+              w.place();
+              w.report(a, WorkerReport.State.RUNNING);
+              assertEquals(1, w.ledger.stages().holders(0));
+              w.ledger.withdraw(j, w.now);
+              w.ledger.resolve(j.live(0), Ledger.Outcome.STOPPED, w.now);
+              w.job(1, 1);
+              w.place();
+              w.report(a, WorkerReport.State.RUNNING);
+              // 40 GB of cache, 20 and 20 in it: the older one is not counted on.
+              assertEquals(0, w.ledger.stages().holders(0));
+              assertEquals(1, w.ledger.stages().holders(1));
+            }));
+  }
+
+  private static List<Machine> busy(World w) {
+    List<Machine> out = new ArrayList<>();
+    w.machines.forEach(
+        m -> {
+          if (!m.empty()) {
+            out.add(m);
+          }
+        });
+    return out;
+  }
+
+  @Test
+  void todaysWorkersGetTodaysMessagesByteForByte() {
+    Order plain = new Order(Order.Kind.LAUNCH, "job-1", 0, 1, 0);
+    assertEquals(
+        "{\"baton\":3,\"orders\":[{\"order\":\"launch\",\"move\":\"job-1/0\",\"try\":1}]}",
+        Json.text(WorkerCodec.orders(3, List.of(plain))));
+    Order told = new Order(Order.Kind.LAUNCH, "job-1", 0, 1, 0, List.of("h:1"));
+    assertTrue(Json.text(WorkerCodec.orders(3, List.of(told))).contains("\"givers\":[\"h:1\"]"));
+  }
+
+  /** Virtual time; a source that gives what 16 machines can take. */
+  @Test
+  void aWaveWithHandOnIsNearTheBoundWhateverHoldersDie() {
+    for (boolean failures : new boolean[] {false, true}) {
+      FetchPolicy limit = new FetchPolicy(16, 0, 1, 2, 1);
+      FetchWave.Setting on = new FetchWave.Setting(200, 350, 20, limit, true, failures);
+      FetchWave.Figures f = new FetchWave(on, 1).play();
+      assertTrue(f.lastS() > 0 && f.lastS() <= 1.1 * FetchWave.bound(on), "last " + f.lastS());
+      FetchWave.Setting off =
+          new FetchWave.Setting(200, 350, 20, new FetchPolicy(0, 0, 0, 2, 1), false, failures);
+      FetchWave.Figures before = new FetchWave(off, 1).play();
+      assertTrue(before.firstS() > 5 * f.firstS(), "first " + before.firstS());
+    }
+  }
+}
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -177,6 +177,18 @@
     assertEquals(List.of(), bad);
   }
 
+  /** Many machines want the same large images; givers die, hang, go deaf; most workers hand on. */
+  @Test
+  void noRuleBreaksWhileManyMachinesWantTheSameImages() {
+    List<World.Result> all =
+        LongStream.rangeClosed(1, HISTORIES / 2)
+            .parallel()
+            .mapToObj(seed -> play(Plan.waves(seed, true)))
+            .toList();
+    assertEquals(List.of(), all.stream().filter(r -> !r.good()).map(World.Result::line).toList());
+    assertTrue(all.stream().mapToLong(World.Result::taken).sum() > 100, "images were handed on");
+  }
+
   @Test
   void aPlanSurvivesItsFile(@TempDir Path dir) throws IOException {
     Plan plan = Plan.drawn(12, true);
