A hold that names a later game supersedes no print; what a lone leader remembers is bounded

Cause, found on rereading: the league's record changes with claims and with holds that name a higher game, and each change after a print began was told as a newer version. Workers that a lone leader has sent round were kept without a bound.

Change: the release keeps how often claimed games had changed, and goes by that. The table is cleared at 4,000.

--- a/src/main/java/org/mallowroad/controller/HoldKeeper.java
+++ b/src/main/java/org/mallowroad/controller/HoldKeeper.java
@@ -59,6 +59,7 @@
 
   private static final String PRINTED = "printed";
   private static final String LEAGUES = "leagues";
+  private static final String CHANGES = "changes";
   private static final String SUPERSEDED = "superseded";
 
   private final Loop loop;
@@ -143,6 +144,8 @@
       return;
     }
     v.path(LEAGUES).properties().forEach(e -> h.leagues.put(e.getKey(), e.getValue().asLong()));
+    h.changes.clear();
+    v.path(CHANGES).properties().forEach(e -> h.changes.put(e.getKey(), e.getValue().asLong()));
     h.superseded = v.path(SUPERSEDED).asBoolean();
     h.state = v.path(PRINTED).asBoolean() ? Holds.State.PRINTED : Holds.State.OPEN;
     Job job = ledger.job(h.job);
@@ -182,7 +185,7 @@
         Records.LEAGUE,
         (result, items, revision) -> {
           if (result == Result.OK) {
-            items.forEach(i -> saw(i.key(), i.mark()));
+            items.forEach(this::saw);
             follow(revision);
           } else {
             loop.after(AGAIN_MS, this::unfollow);
@@ -212,17 +215,22 @@
             loop.after(AGAIN_MS, this::unfollow);
             return;
           }
-          events.forEach(e -> saw(e.key(), e.mark()));
+          events.forEach(this::saw);
           follow(revision);
         });
   }
 
-  /** A league's record has this mark: what was printed by another one is superseded. */
-  private void saw(String key, long at) {
-    String league = key.substring(Records.LEAGUE.length());
+  /**
+   * A league's record as it is now: what was printed before the newest claim in it is superseded.
+   * The claim may be of a game that only another hold names; a hold that names a higher one is
+   * none.
+   */
+  private void saw(Item i) {
+    String league = i.key().substring(Records.LEAGUE.length());
+    long changes = i.value() == null ? 0 : i.value().path(Records.CHANGES).asLong();
     for (Hold h : List.copyOf(holds.all())) {
-      Long known = h.leagues.get(league);
-      if (h.state == Holds.State.PRINTED && known != null && known != at && !h.superseded) {
+      Long known = h.changes.get(league);
+      if (h.state == Holds.State.PRINTED && known != null && changes > known && !h.superseded) {
         supersede(h, league);
       }
     }
@@ -248,6 +256,8 @@
     ObjectNode v = Json.object();
     ObjectNode l = v.putObject(LEAGUES);
     h.leagues.forEach(l::put);
+    ObjectNode c = v.putObject(CHANGES);
+    h.changes.forEach(c::put);
     if (printed) {
       v.put(PRINTED, true);
     }
@@ -325,6 +335,7 @@
   private final class Confirmation {
     private final Hold hold;
     private final Map<String, Long> marks = new LinkedHashMap<>();
+    private final Map<String, Long> changes = new LinkedHashMap<>();
     private final Map<String, Fate> fates = new HashMap<>();
     private final StringBuilder waits = new StringBuilder();
     private int waitsFor;
@@ -403,6 +414,8 @@
               again();
             } else {
               marks.put(l, item.mark());
+              long n = item.value() == null ? 0 : item.value().path(Records.CHANGES).asLong();
+              changes.put(l, n);
               leagues(left);
             }
           });
@@ -541,6 +554,8 @@
       }
       hold.leagues.clear();
       hold.leagues.putAll(marks);
+      hold.changes.clear();
+      hold.changes.putAll(changes);
       Txn txn =
           new Txn()
               .given(Election.LEADER, mark)
--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -75,6 +75,9 @@
   /** An empty machine of a cut zone is kept for so many leases. */
   private static final double HOLD_LEASES = 3;
 
+  /** Workers remembered that were sent round; more than any fleet that one leader can answer. */
+  private static final int MOST_ROUNDS = 4_000;
+
   /** Lines about single machines in each judgement. */
   private static final int MOST_LINES = 20;
 
@@ -152,6 +155,9 @@
     if (now - last < leaseMs) {
       return false;
     }
+    if (rounds.size() >= MOST_ROUNDS) {
+      rounds.clear(); // Each is sent round once more than it need be, no worse.
+    }
     rounds.put(r.machine(), now);
     return true;
   }
--- a/src/main/java/org/mallowroad/core/hold/Holds.java
+++ b/src/main/java/org/mallowroad/core/hold/Holds.java
@@ -41,10 +41,13 @@
     /** Marks of the leagues' records when it was confirmed: conditions of starts until printed. */
     public final Map<String, Long> leagues = new Object2ObjectLinkedOpenHashMap<>();
 
+    /** How often games that holds depend on had changed in each league when it was confirmed. */
+    public final Map<String, Long> changes = new Object2ObjectLinkedOpenHashMap<>();
+
     /** What it still waits for, as of the newest look, for people; bounded. */
     public String waitsFor = "not looked at yet";
 
-    /** The job whose claim came after the print, or null. */
+    /** True once a claim came after the print began. */
     public boolean superseded;
 
     /** Dependencies that were seen done in this term: their ends never change. */
