--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.objects.Object2BooleanLinkedOpenHashMap;
 import java.util.List;
+import java.util.function.Consumer;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.fold.Fate;
 import org.mallowroad.core.fold.Game;
@@ -51,6 +52,7 @@
   private final OpenJobs opens;
   private final Folding folding;
   private int again;
+  private Consumer<String> onCancelled = id -> {};
 
   /** True for done, false for withdrawn: final states never change, so they may be kept. */
   private final Object2BooleanLinkedOpenHashMap<String> finals =
@@ -108,13 +110,27 @@
     return finals.getBoolean(id) ? Fate.DONE : Fate.WITHDRAWN;
   }
 
-  /** A job's end became known. */
-  public void ended(String id, boolean done) {
+  /** Told of each cancellation that this node learns of as a fact, for the first time. */
+  public void onCancelled(Consumer<String> told) {
+    onCancelled = told;
+  }
+
+  /**
+   * A job's end became known.
+   *
+   * @return true when it was not known before
+   */
+  public boolean ended(String id, boolean done) {
     opens.over(id);
+    boolean news = !finals.containsKey(id);
     finals.putAndMoveToLast(id, done);
     if (finals.size() > mostEnds) {
       finals.removeFirstBoolean();
     }
+    if (news && !done) {
+      onCancelled.accept(id);
+    }
+    return news;
   }
 
   /** How many ends of jobs are remembered. */
--- a/src/main/java/org/mallowroad/cli/Experiment.java
+++ b/src/main/java/org/mallowroad/cli/Experiment.java
@@ -53,6 +53,12 @@
               + " workers alone.")
   private boolean unheard;
 
+  @Option(
+      names = "--meetings",
+      description =
+          "Histories in which two or three troubles meet while users cancel jobs that run long.")
+  private boolean meetings;
+
   @Option(
       names = "--ratings",
       description =
@@ -231,6 +237,9 @@
   }
 
   private Plan plan(long seed) {
+    if (meetings) {
+      return Plan.meetings(seed, !without);
+    }
     if (waves) {
       return Plan.waves(seed, !without);
     }
--- a/src/main/java/org/mallowroad/config/Settings.java
+++ b/src/main/java/org/mallowroad/config/Settings.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.wire.Json;
 
 /** The platform's settings file (TOML), checked. */
@@ -117,6 +118,11 @@
                 o.has("class") ? text(o, "class", "params.objectives.class") : "",
                 amount(o, "within_s", "params.objectives.within_s", 0)));
       }
+      double leaseS = positive(workers, "lease_s", "params.workers.lease_s");
+      double cancelS = positive(workers, "cancel_s", "params.workers.cancel_s");
+      if (CancellationView.mostAgeMs(leaseS, cancelS) <= 0) {
+        throw bad("params.workers.cancel_s", "cannot be kept with lease_s " + leaseS);
+      }
       JsonNode resources = params.path("resources");
       return new Settings(
           text(root, "node_name", "node_name"),
@@ -130,8 +136,8 @@
           teams,
           objectives,
           positive(workers, "report_s", "params.workers.report_s"),
-          positive(workers, "lease_s", "params.workers.lease_s"),
-          positive(workers, "cancel_s", "params.workers.cancel_s"),
+          leaseS,
+          cancelS,
           positive(state, "rps", "params.state.rps"),
           positive(state, "write_rps", "params.state.write_rps"),
           positive(state, "value_kb", "params.state.value_kb"),
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/CancellationDuties.java
@@ -0,0 +1,84 @@
+package org.mallowroad.controller;
+
+import java.util.List;
+import org.mallowroad.config.Settings;
+import org.mallowroad.core.cancel.Notices;
+import org.mallowroad.net.Loop;
+import org.mallowroad.peer.Peers;
+
+/**
+ * Tells the other controllers of cancellations that this one learnt of, until they have taken it or
+ * {@code cancel_s} is over: by then the leases have done the same. What a peer told goes on to the
+ * leader alone, once, since its sender may not reach it.
+ */
+final class CancellationDuties {
+  /** Cancellations come together; those of a moment share a message. */
+  private static final long GATHER_MS = 20;
+
+  /** What was not taken is told again so much later. */
+  private static final long AGAIN_MS = 500;
+
+  /** A controller remembers an end as a fact, and says whether it was news. */
+  interface Ends {
+    boolean ended(String id, boolean done);
+  }
+
+  private final Loop loop;
+  private final Peers peers;
+  private final List<String> names;
+  private final Notices notices;
+  private final boolean[] soon;
+  private boolean hearing;
+
+  CancellationDuties(Loop loop, Settings settings, Peers peers) {
+    this.loop = loop;
+    this.peers = peers;
+    this.names = settings.members().stream().map(Settings.Member::node).toList();
+    this.notices = new Notices(names.size(), (long) (settings.cancelS() * 1000));
+    this.soon = new boolean[names.size()];
+  }
+
+  /** This node learnt of it: all have to hear; or by a peer's word: whoever leads has to. */
+  void learnt(String id, String leader) {
+    for (int p = 0; p < names.size(); p++) {
+      if (!hearing || names.get(p).equals(leader)) {
+        notices.learnt(p, id, loop.now());
+        tell(p, GATHER_MS);
+      }
+    }
+  }
+
+  /** A peer's word. */
+  void heard(List<String> jobs, Ends ends) {
+    hearing = true;
+    try {
+      jobs.forEach(id -> ends.ended(id, false));
+    } finally {
+      hearing = false;
+    }
+  }
+
+  private void tell(int peer, long ms) {
+    if (soon[peer]) {
+      return;
+    }
+    soon[peer] = true;
+    loop.after(
+        ms,
+        () -> {
+          soon[peer] = false;
+          List<String> jobs = notices.take(peer, loop.now());
+          if (!jobs.isEmpty()) {
+            peers.cancelled(
+                peer,
+                jobs,
+                taken -> {
+                  notices.answered(peer, jobs, taken);
+                  if (notices.untold(peer) > 0) {
+                    tell(peer, taken ? GATHER_MS : AGAIN_MS);
+                  }
+                });
+          }
+        });
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -498,13 +498,20 @@
             boolean done = item.value().path("end").asText().equals("done");
             if (done) {
               ledger.ended(j);
+              events.ended(j, true);
+              tidy(j);
             } else {
-              ledger.withdraw(j, loop.now());
+              cancelled(j);
             }
-            events.ended(j, done);
-            tidy(j);
           }
           next.run();
         });
   }
+
+  /** It is a fact that the job was cancelled, whoever says so; told once or more. */
+  void cancelled(Job j) {
+    ledger.withdraw(j, loop.now());
+    events.ended(j, false);
+    tidy(j);
+  }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/EarlyReports.java
@@ -0,0 +1,85 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.mallowroad.core.WorkerReport;
+import org.mallowroad.net.Loop;
+
+/**
+ * Reports that come before a new leader has read the records. Nothing may be answered to them yet,
+ * but a worker waits up to 4 s for its answer, and most takeovers are over by then: so a report is
+ * held for a while, and its worker is turned away only when that was not enough. What a held report
+ * says is as old as it is, as with any that was long on its way.
+ */
+final class EarlyReports {
+  /** Half of what a worker waits: the rest is for the way, also by a peer. */
+  private static final long HOLD_MS = 2_000;
+
+  /** As many workers as one leader can answer; those beyond are turned away at once. */
+  private static final int MOST = 4_000;
+
+  /** Reports that are taken in one turn of the loop, so that renewals and users go between. */
+  private static final int TURN = 24;
+
+  private record Early(WorkerReport report, int via, Consumer<ObjectNode> reply, long atMs) {}
+
+  /** Where a held report goes in the end. */
+  interface Office {
+    /** Takes the report as one that came just now. */
+    void report(WorkerReport r, int via, Consumer<ObjectNode> reply);
+  }
+
+  /** By machine, in the order in which they came. */
+  private final Object2ObjectLinkedOpenHashMap<String, Early> held =
+      new Object2ObjectLinkedOpenHashMap<>();
+
+  /** The newest of each machine that was turned away: it is known of even so. */
+  private final Object2ObjectLinkedOpenHashMap<String, WorkerReport> seen =
+      new Object2ObjectLinkedOpenHashMap<>();
+
+  /** Holds a report; an older one of the same machine has nobody waiting for it any more. */
+  void add(WorkerReport r, int via, Consumer<ObjectNode> reply, long now) {
+    Early before = held.remove(r.machine());
+    if (before != null) {
+      before.reply.accept(null);
+    }
+    if (held.size() >= MOST) {
+      reply.accept(null);
+      return;
+    }
+    held.put(r.machine(), new Early(r, via, reply, now));
+  }
+
+  /** Turns away whose report was held for long enough. */
+  void turnAway(long now) {
+    while (!held.isEmpty() && now - held.get(held.firstKey()).atMs > HOLD_MS) {
+      Early e = held.removeFirst();
+      if (seen.size() < MOST) {
+        seen.put(e.report.machine(), e.report);
+      }
+      e.reply.accept(null);
+    }
+  }
+
+  /** The records are read: all that is held is taken, a few in a turn. */
+  void take(Loop loop, Consumer<WorkerReport> known, Office office) {
+    seen.values().forEach(known);
+    seen.clear();
+    Deque<Early> all = new ArrayDeque<>(held.values());
+    held.clear();
+    some(loop, all, office);
+  }
+
+  private static void some(Loop loop, Deque<Early> all, Office office) {
+    for (int i = 0; i < TURN && !all.isEmpty(); i++) {
+      Early e = all.poll();
+      office.report(e.report, e.via, e.reply);
+    }
+    if (!all.isEmpty()) {
+      loop.soon(() -> some(loop, all, office));
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -1,7 +1,6 @@
 package org.mallowroad.controller;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -20,6 +19,7 @@
 import org.mallowroad.core.Served;
 import org.mallowroad.core.Spending;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
 import org.mallowroad.net.Budget;
@@ -70,18 +70,16 @@
   private final Consumer<Job> onEnd;
   private final IntSupplier peersNear;
   private final long startedMs;
-  private final long deafMs;
-  private final long unreadMs;
-  private final long mostUnreadMs;
+  private final CancellationView view;
   private final Runnable onRead;
   private final List<Loop.Timer> duties = new ArrayList<>();
-  private final Object2ObjectOpenHashMap<String, WorkerReport> early =
-      new Object2ObjectOpenHashMap<>();
+  private final EarlyReports early = new EarlyReports();
   private final WorkerClient workers;
   private final ObjectOpenHashSet<String> holding = new ObjectOpenHashSet<>();
   private long heardMs;
   private boolean heard;
   private boolean loaded;
+  private boolean stale;
   private boolean acting;
   private boolean stopped;
   private boolean placing;
@@ -103,7 +101,6 @@
       Election election,
       long term,
       long mark,
-      long unreadMs,
       WorkerClient workers,
       Folding folding,
       IntSupplier peersNear,
@@ -117,7 +114,6 @@
     this.onEnd = onEnd;
     this.peersNear = peersNear;
     this.onRead = onRead;
-    this.unreadMs = unreadMs;
     this.served = new Served(site.classes, site.teams());
     this.workers = workers;
     this.startedMs = loop.now();
@@ -136,22 +132,9 @@
         new Watchman(
             ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
     this.placement = new Placement(ledger);
-    // A withdrawal told by another node must end tasks within cancel_s, so a leader that cannot
-    // hear of it renews worker leases only as long as they still run out in time.
-    this.deafMs =
-        (long)
-            (Math.max(
-                    site.settings.leaseS() / 2,
-                    site.settings.cancelS() - site.settings.leaseS() - 4)
-                * 1000);
-    // An answer before the records are read stops nothing that was withdrawn, whoever gives it: all
-    // terms that get no further have this time together, and 4 s for an answer on its way.
-    this.mostUnreadMs =
-        (long)
-            (Math.max(
-                    site.settings.leaseS() / 4,
-                    site.settings.cancelS() - site.settings.leaseS() - 8)
-                * 1000);
+    this.view =
+        new CancellationView(
+            CancellationView.mostAgeMs(site.settings.leaseS(), site.settings.cancelS()));
     double writeRps = site.settings.stateWriteRps();
     // A transaction larger than the bucket would wait for ever, so the one bounds the other.
     int maxOps = (int) Math.max(4, Math.min(site.settings.txnOps(), writeRps * 0.8));
@@ -217,7 +200,7 @@
         new HoldKeeper(
             loop, state, ledger, folding, mark, this::advance, () -> election.stepDown());
     this.folds = new FoldKeeper(loop, state, folding, writes, maxOps, mark);
-    this.records = new RecordReader(loop, state, site, ledger, committer, new Readers());
+    this.records = new RecordReader(loop, state, site, ledger, committer, view, new Readers());
     this.fleet =
         new FleetManager(
             loop,
@@ -326,6 +309,7 @@
   private void beat() {
     watchman.turn(loop.now());
     watchman.beat();
+    early.turnAway(loop.now());
   }
 
   void stop() {
@@ -336,15 +320,14 @@
     folds.stop();
     committer.stop();
     fleet.stop();
+    early.turnAway(Long.MAX_VALUE);
   }
 
   private void taken(int records, List<Item> hire) {
     loaded = true;
-    // After a lease, not a report's round: by then each worker has had an answer of this leader,
-    // which
-    // stops what was withdrawn before, or had none, and its lease has run out.
+    // After a lease: what a takeover has to write itself goes first.
     loop.after(
-        (long) (site.settings.leaseS() * 1001) + 500,
+        (long) (site.settings.leaseS() * 1000),
         () -> {
           if (!stopped) {
             onRead.run();
@@ -361,8 +344,7 @@
         records,
         hire.size(),
         loop.now() - startedMs);
-    early.values().forEach(r -> take(r));
-    early.clear();
+    early.take(loop, this::take, this::report);
     load.tickedMs = loop.now();
     duties.add(loop.every(TICK_MS, this::tick));
     duties.add(loop.every(LOAD_MS, load::log));
@@ -392,6 +374,7 @@
       LOG.info("event=acting term={} machines={}", term, ledger.machines().size());
       fleet.act();
     }
+    tellView(now);
     ledger.expireSilent(now);
     if (firm()) {
       placement.drain(now);
@@ -439,23 +422,24 @@
     push();
   }
 
-  /** Sends what waits straight to the workers, one message a worker at a time. */
+  /**
+   * Sends what waits straight to the workers, one message a worker at a time. Without the state
+   * service stops alone: a launch needs a leader that is one, a stop only ends what it names.
+   */
   private void push() {
-    if (!firm()) {
-      return;
-    }
+    boolean firm = firm();
     long now = loop.now();
     for (Iterator<Machine> it = ledger.outbox().iterator(); it.hasNext(); ) {
       Machine m = it.next();
       if (holding.contains(m.name) || workers.busy(m.address)) {
         continue;
       }
-      // What cannot be sent now travels in the answer to the next report.
-      it.remove();
-      if (m.empty() || m.address.isEmpty()) {
-        continue;
+      List<Order> orders =
+          m.empty() || m.address.isEmpty() ? List.of() : ledger.dialogue().direct(m, firm, now);
+      if (firm || !orders.isEmpty()) {
+        // What cannot be sent now travels in the answer to the next report.
+        it.remove();
       }
-      List<Order> orders = ledger.dialogue().direct(m, true, now);
       if (orders.isEmpty()) {
         continue;
       }
@@ -495,9 +479,26 @@
         && fleet.running() > (heard ? 0 : FEW_MACHINES);
   }
 
-  /** True when this leader must stop renewing worker leases. */
-  private boolean deaf() {
-    return loop.now() - Math.max(election.renewedMs(), state.contactMs()) > deafMs;
+  /** The age of the view of cancellations, or -1 before there is one: for metrics. */
+  long viewMs() {
+    return loaded ? view.ageMs(loop.now()) : -1;
+  }
+
+  /** Told, by whoever learnt it: never needed for a rule, and it saves work. */
+  void cancelled(String id) {
+    Job job = job(id);
+    if (job != null && !job.withdrawn() && !job.ended() && !ledger.ending().contains(job)) {
+      LOG.info("event=cancellation_told job={} view_ms={}", id, viewMs());
+      committer.cancelled(job);
+      advance();
+    }
+  }
+
+  private void tellView(long now) {
+    if (view.stale(now) != stale) {
+      stale = !stale;
+      LOG.warn("event={} term={} view_ms={}", stale ? "view_stale" : "view_fresh", term, viewMs());
+    }
   }
 
   /**
@@ -511,11 +512,6 @@
         && now - Math.max(election.renewedMs(), state.contactMs()) > ALONE_MS;
   }
 
-  /** True when leaders have renewed worker leases for too long without reading the records. */
-  private boolean unread() {
-    return !loaded && loop.wallMs() - unreadMs > mostUnreadMs;
-  }
-
   private Machine take(WorkerReport r) {
     MachineType type = site.type(r.type());
     int zone = site.zones.find(r.zone());
@@ -533,18 +529,17 @@
   void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
     long now = loop.now();
     watchman.turn(now);
-    if (deaf()
-        || unread()
-        || watchman.unsure(election.renewedMs(), now)
-        || (alone(now) && watchman.sendRound(r, now))) {
-      reply.accept(null);
-      return;
-    }
     if (!loaded) {
+      // An answer before the records are read stops nothing that was cancelled, whoever gives it.
       heard = true;
       heardMs = now;
-      early.put(r.machine(), r);
-      reply.accept(WorkerCodec.orders(term, List.of()));
+      early.add(r, via, reply, now);
+      return;
+    }
+    if (view.stale(now)
+        || watchman.unsure(election.renewedMs(), now)
+        || (alone(now) && watchman.sendRound(r, now))) {
+      reply.accept(null);
       return;
     }
     Machine m = take(r);
--- a/src/main/java/org/mallowroad/controller/LinkDuties.java
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -39,10 +39,11 @@
  * <i>answered</i> ({@code Machine.answeredMs}), which is later, by whichever way the report came.
  * So the proof by lease in {@code Ledger} holds as it stands. The answer carries the token of the
  * leader that gave it: a deposed one's is dropped by every worker that has seen a later one, and
- * one that has not may stay with it exactly as if it reached it directly, until the leader is deaf
- * ({@code Leader}), or this node hears of the later term (rows, announcements, other workers'
- * tokens) and carries nothing there any more. A node adds nothing to an answer and remembers none.
- * Orders by way of a peer without an answer are {@code UNKNOWN}, held uncleared and fenced as any.
+ * one that has not may stay with it exactly as if it reached it directly, until the leader's view
+ * is stale ({@code CancellationView}), or this node hears of the later term (rows, announcements,
+ * other workers' tokens) and carries nothing there any more. A node adds nothing to an answer and
+ * remembers none. Orders by way of a peer without an answer are {@code UNKNOWN}, held uncleared and
+ * fenced as any.
  */
 final class LinkDuties {
   private static final Logger LOG = LoggerFactory.getLogger(LinkDuties.class);
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -22,6 +22,7 @@
 import org.mallowroad.core.Job;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
 import org.mallowroad.core.health.Health;
@@ -44,6 +45,9 @@
 
 /** One controller: listens, takes part in the election and, while elected, leads. */
 public final class Node {
+  /** With less than this the view of cancellations is stale after any hiccup. */
+  private static final long SHORT_VIEW_MS = 5_000;
+
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
 
   /** Ended jobs remembered for each MB of memory: at about 120 bytes each, a twentieth of it. */
@@ -63,6 +67,8 @@
   private final Door door;
   private final ConsoleServer console;
 
+  private final CancellationDuties cancellations;
+
   /** What goes round cuts; null where it is off. */
   private final LinkDuties links;
 
@@ -130,6 +136,8 @@
             new Office());
     this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(host, s.members(), new NodePeers());
+    this.cancellations = new CancellationDuties(loop, s, peers);
+    users.onCancelled(this::learntCancelled);
     // Not even its classes are loaded where it is off.
     this.console =
         site.operator.console().isEmpty()
@@ -170,6 +178,11 @@
   /** The same on the loop itself. */
   public void begin() {
     host.listen(new Inlet());
+    long most = CancellationView.mostAgeMs(site.settings.leaseS(), site.settings.cancelS());
+    if (most < SHORT_VIEW_MS) {
+      // Kept even so; but a moment without the state service costs the fleet its leases.
+      LOG.warn("event=cancel_s_short most_view_ms={}", most);
+    }
     startConsole();
     types();
     types.start();
@@ -328,6 +341,7 @@
       gauge("mallowroad.stood.still", n -> n.watched(h -> h.still().count()));
       gauge("mallowroad.stood.still.longest.ms", n -> n.watched(h -> h.still().longestMs()));
       gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
+      gauge("mallowroad.cancellations.view.ms", n -> n.leader == null ? 0 : n.leader.viewMs());
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
       if (links != null) {
         gauge("mallowroad.links.down", n -> n.links.links().downCount());
@@ -419,7 +433,7 @@
 
   private final class Office implements Election.Listener {
     @Override
-    public void elected(long term, long mark, long unreadMs) {
+    public void elected(long term, long mark) {
       leader =
           new Leader(
               loop,
@@ -429,14 +443,10 @@
               election,
               term,
               mark,
-              unreadMs,
               workers,
               users.folding(),
               () -> links == null ? 0 : links.links().freshRows(loop.now()),
-              () -> {
-                election.read();
-                types.keep(mark);
-              },
+              () -> types.keep(mark),
               job -> users.ended(job.spec.id(), true));
       leader.start();
       // After the takeover's first reads are under way: they matter more.
@@ -475,7 +485,22 @@
     }
   }
 
+  /**
+   * Learnt as a fact, from the state service or by a peer's word: the leader's tasks go at once.
+   */
+  private void learntCancelled(String id) {
+    if (leader != null) {
+      leader.cancelled(id);
+    }
+    cancellations.learnt(id, election.leader());
+  }
+
   private final class NodePeers implements Peers.Listener {
+    @Override
+    public void cancelled(List<String> jobs) {
+      cancellations.heard(jobs, users::ended);
+    }
+
     @Override
     public void announced(String node, long term) {
       election.announced(node, term);
--- a/src/main/java/org/mallowroad/controller/RecordReader.java
+++ b/src/main/java/org/mallowroad/controller/RecordReader.java
@@ -10,6 +10,7 @@
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.MachineType;
+import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.net.Loop;
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore;
@@ -25,7 +26,13 @@
  */
 final class RecordReader {
   private static final Logger LOG = LoggerFactory.getLogger(RecordReader.class);
-  private static final long WATCH_MS = 10_000;
+
+  /**
+   * How long a watch of open jobs waits: the view of cancellations is as old as its newest watch
+   * that was answered ({@link CancellationView}), so that this much of an outage is lost to the
+   * workers. A call each second and a half is one in a hundred of the smallest deployment's.
+   */
+  private static final long WATCH_MS = 1_500;
 
   /** Records that a takeover takes in one turn of the loop. */
   private static final int TURN = 24;
@@ -35,6 +42,7 @@
   private final Site site;
   private final Ledger ledger;
   private final Committer committer;
+  private final CancellationView view;
   private final Office office;
   private boolean stopped;
 
@@ -54,12 +62,19 @@
   }
 
   RecordReader(
-      Loop loop, StateStore state, Site site, Ledger ledger, Committer committer, Office office) {
+      Loop loop,
+      StateStore state,
+      Site site,
+      Ledger ledger,
+      Committer committer,
+      CancellationView view,
+      Office office) {
     this.loop = loop;
     this.state = state;
     this.site = site;
     this.ledger = ledger;
     this.committer = committer;
+    this.view = view;
     this.office = office;
   }
 
@@ -86,6 +101,7 @@
 
   /** What a takeover reads, until it is complete. */
   private final class Takeover {
+    private final long sentMs = loop.now();
     private List<Item> open;
     private List<Item> run;
     private List<Item> hire;
@@ -152,6 +168,8 @@
         for (Job j : ledger.jobs()) {
           ledger.restored(j, loop.now());
         }
+        // Of jobs that are over as well: restoreWithdrawn has read how each of them ended.
+        view.answered(sentMs).applied();
         office.taken(run.size(), hire);
         follow(revision);
       }
@@ -260,6 +278,7 @@
     if (stopped) {
       return;
     }
+    long sentMs = loop.now();
     state.follow(
         Records.OPEN,
         from,
@@ -272,14 +291,16 @@
             loop.after(200, this::relist);
             return;
           }
+          CancellationView.Reading reading = view.answered(sentMs);
           for (Item e : events) {
             if (e.value() != null) {
               office.accepted();
               opened(e);
             } else {
-              closed(e.key().substring(Records.OPEN.length()));
+              closed(e.key().substring(Records.OPEN.length()), reading);
             }
           }
+          reading.applied();
           if (!events.isEmpty()) {
             office.changed();
           }
@@ -287,10 +308,17 @@
         });
   }
 
-  private void closed(String id) {
+  /** The view is no newer than how the job ended: until that is read, nothing of it is stopped. */
+  private void closed(String id, CancellationView.Reading reading) {
     Job job = ledger.job(id);
     if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
-      committer.reread(job, office::changed);
+      reading.waitsForOneMore();
+      committer.reread(
+          job,
+          () -> {
+            reading.applied();
+            office.changed();
+          });
     }
   }
 
@@ -298,6 +326,7 @@
     if (stopped) {
       return;
     }
+    long sentMs = loop.now();
     state.list(
         Records.OPEN,
         (result, open, revision) -> {
@@ -308,16 +337,21 @@
             loop.after(300, this::relist);
             return;
           }
+          CancellationView.Reading reading = view.answered(sentMs);
           ObjectOpenHashSet<String> ids = new ObjectOpenHashSet<>();
           for (Item i : open) {
-            ids.add(i.key().substring(Records.OPEN.length()));
-            opened(i);
+            String id = i.key().substring(Records.OPEN.length());
+            ids.add(id);
+            if (ledger.job(id) == null) {
+              opened(i); // Records of open jobs never change: the others need not be read again.
+            }
           }
           for (Job j : new ArrayList<>(ledger.jobs())) {
             if (!ids.contains(j.spec.id())) {
-              closed(j.spec.id());
+              closed(j.spec.id(), reading);
             }
           }
+          reading.applied();
           office.changed();
           follow(revision);
         });
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -24,11 +24,6 @@
   /** Key of the highest token given out. */
   public static final String TERM = "term";
 
-  /** The field of the term's record that says since when no leader has got as far as to read. */
-  private static final String UNREAD = "unread";
-
-  private static final long READ_AGAIN_MS = 2_000;
-
   /** The field of the leader's record that names its lease. */
   private static final String LEASE = "lease";
 
@@ -78,12 +73,8 @@
 
   /** Told of this node's own office. */
   public interface Listener {
-    /**
-     * This node leads from now on.
-     *
-     * @param unreadMs since when, by the time of day, no leader has got as far as {@link #read}
-     */
-    void elected(long term, long mark, long unreadMs);
+    /** This node leads from now on. */
+    void elected(long term, long mark);
 
     /** This node no longer leads. */
     void deposed();
@@ -264,10 +255,6 @@
     ObjectNode count = org.mallowroad.wire.Json.object();
     // The last token of the term's block: the next term is above all of them, whoever reads this.
     count.put("n", Term.last(newTerm));
-    // Kept from a term that never got as far; a time that is yet to come is nobody's.
-    long since = before.value() == null ? 0 : before.value().path(UNREAD).asLong();
-    long unreadMs = since > 0 ? Math.min(since, loop.wallMs()) : loop.wallMs();
-    count.put(UNREAD, unreadMs);
     standing = id;
     Txn txn =
         new Txn().given(LEADER, 0).given(TERM, before.mark()).put(LEADER, who, id).put(TERM, count);
@@ -275,9 +262,9 @@
         txn,
         (result, revision, failed) -> {
           if (result == Result.OK) {
-            confirm(newTerm, revision, unreadMs, id, sent);
+            confirm(newTerm, revision, id, sent);
           } else if (result == Result.UNKNOWN) {
-            settle(id, newTerm, unreadMs, sent);
+            settle(id, newTerm, sent);
           } else {
             over();
           }
@@ -291,7 +278,7 @@
   }
 
   /** An election whose outcome is unknown is settled by reading who leads. */
-  private void settle(long id, long newTerm, long unreadMs, long sent) {
+  private void settle(long id, long newTerm, long sent) {
     state.get(
         LEADER,
         (result, item) -> {
@@ -299,7 +286,7 @@
             if (loop.now() - sent > 2 * LIFE_MS) {
               over();
             } else {
-              loop.after(200, () -> settle(id, newTerm, unreadMs, sent));
+              loop.after(200, () -> settle(id, newTerm, sent));
             }
             return;
           }
@@ -309,7 +296,7 @@
               && item.value().path(LEASE).asLong() == id) {
             // By the lease: a transaction of the process before, applied late, has the same name
             // and may have the same term.
-            confirm(newTerm, item.mark(), unreadMs, id, sent);
+            confirm(newTerm, item.mark(), id, sent);
           } else {
             over();
           }
@@ -321,10 +308,10 @@
    * another elected since. Then the lease is asked for first, and an office that is over is never
    * begun.
    */
-  private void confirm(long newTerm, long newMark, long unreadMs, long id, long sent) {
+  private void confirm(long newTerm, long newMark, long id, long sent) {
     if (loop.now() - sent < LIFE_MS) {
       campaigning = false;
-      elected(newTerm, newMark, unreadMs, id, sent);
+      elected(newTerm, newMark, id, sent);
       return;
     }
     long again = loop.now();
@@ -333,16 +320,16 @@
         RENEW_TIMEOUT_MS,
         (result, lease) -> {
           if (result == Result.OK) {
-            confirm(newTerm, newMark, unreadMs, id, again);
+            confirm(newTerm, newMark, id, again);
           } else if (result == Result.NO || loop.now() - sent > 10 * LIFE_MS) {
             over();
           } else {
-            loop.after(200, () -> confirm(newTerm, newMark, unreadMs, id, sent));
+            loop.after(200, () -> confirm(newTerm, newMark, id, sent));
           }
         });
   }
 
-  private void elected(long newTerm, long newMark, long unreadMs, long id, long sent) {
+  private void elected(long newTerm, long newMark, long id, long sent) {
     if (leading) {
       return;
     }
@@ -355,34 +342,7 @@
     renewedMs = sent;
     LOG.info("event=elected term={}", term);
     renewal = loop.every(RENEW_MS, this::renew);
-    listener.elected(term, mark, unreadMs);
-  }
-
-  /**
-   * This node's leader read the records a lease ago: each worker was answered since or has lost its
-   * tasks, so what was withdrawn before is stopped. From now on a next leader's time to do the same
-   * begins anew.
-   */
-  public void read() {
-    if (!leading) {
-      return;
-    }
-    long of = term;
-    ObjectNode count = org.mallowroad.wire.Json.object();
-    count.put("n", Term.last(term));
-    state.run(
-        new Txn().given(LEADER, mark).given(TERM, mark).put(TERM, count),
-        (result, revision, failed) -> {
-          if (result == Result.NOT_DONE || result == Result.UNKNOWN) {
-            loop.after(
-                READ_AGAIN_MS,
-                () -> {
-                  if (term == of) {
-                    read();
-                  }
-                });
-          }
-        });
+    listener.elected(term, mark);
   }
 
   private void renew() {
--- a/src/main/java/org/mallowroad/peer/PeerCodec.java
+++ b/src/main/java/org/mallowroad/peer/PeerCodec.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.avro.AvroRuntimeException;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaBuilder;
@@ -18,6 +20,9 @@
 
 /** What controllers say to each other, in Avro's binary form. */
 final class PeerCodec {
+  /** Of the form of {@link Cancelled}; another build's is refused, and costs time alone. */
+  private static final int VERSION = 1;
+
   /** A leader makes its term known. */
   record Announce(String node, long term) {}
 
@@ -27,6 +32,21 @@
   /** What the other node answered. */
   record Relayed(int status, byte[] body) {}
 
+  /** Jobs that are cancelled, for good. */
+  record Cancelled(List<String> jobs) {}
+
+  private final Schema cancelled =
+      SchemaBuilder.record("Cancelled")
+          .namespace("org.mallowroad.peer")
+          .fields()
+          .requiredInt("version")
+          .name("jobs")
+          .type()
+          .array()
+          .items()
+          .stringType()
+          .noDefault()
+          .endRecord();
   private final Schema announce =
       SchemaBuilder.record("Announce")
           .namespace("org.mallowroad.peer")
@@ -72,6 +92,25 @@
     return write(relayed, r);
   }
 
+  byte[] encode(Cancelled m) {
+    GenericRecord r = new GenericData.Record(cancelled);
+    r.put("version", VERSION);
+    r.put("jobs", m.jobs());
+    return write(cancelled, r);
+  }
+
+  Cancelled cancelled(byte[] bytes) throws BadMessage {
+    GenericRecord r = read(cancelled, bytes);
+    if ((Integer) r.get("version") != VERSION) {
+      throw new BadMessage("another build's message");
+    }
+    List<String> jobs = new ArrayList<>();
+    for (Object id : (List<?>) r.get("jobs")) {
+      jobs.add(id.toString());
+    }
+    return new Cancelled(jobs);
+  }
+
   Announce announce(byte[] bytes) throws BadMessage {
     GenericRecord r = read(announce, bytes);
     return new Announce(r.get("node").toString(), (Long) r.get("term"));
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.mallowroad.api.Answerer;
 import org.mallowroad.config.Settings.Member;
 import org.mallowroad.net.Caller;
@@ -17,8 +18,9 @@
 
 /**
  * The other controllers. A new leader announces its term, so that a deposed one that is cut from
- * the state service yields at once; and a node cut from the state service passes users' requests
- * on. Nothing here decides anything: a lost message costs time, never a rule.
+ * the state service yields at once; a node that learnt of a cancellation tells the others; and a
+ * node cut from the state service passes users' requests on. Nothing here decides anything: a lost
+ * message costs time, never a rule.
  */
 public final class Peers {
   /** Form of all messages between controllers. */
@@ -27,6 +29,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
   private static final String ANNOUNCE = "/announce";
   private static final String RELAY = "/relay";
+  private static final String CANCELLED = "/cancelled";
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
@@ -43,6 +46,9 @@
     /** Another node says that it leads. */
     void announced(String node, long term);
 
+    /** These jobs are cancelled, as a peer knows for a fact. */
+    void cancelled(List<String> jobs);
+
     /** Serves a user's request that a peer passed on; it is not passed on again. */
     void relayed(String method, String path, byte[] body, Answerer answerer);
   }
@@ -101,6 +107,29 @@
         });
   }
 
+  /** Tells one peer that jobs are cancelled; {@code over} says whether it has taken it. */
+  public void cancelled(int peer, List<String> jobs, Consumer<Boolean> over) {
+    callers
+        .get(peer)
+        .call(
+            "POST",
+            CANCELLED,
+            codec().encode(new PeerCodec.Cancelled(jobs)),
+            TIMEOUT_MS,
+            new Caller.Answer() {
+              @Override
+              public void answered(int status, byte[] body) {
+                // An earlier build's 404 is an answer: it will never take it.
+                over.accept(status < 500);
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                over.accept(false);
+              }
+            });
+  }
+
   /** Passes a user's request on to a peer, then to the next; {@code failed} when none serves it. */
   public void relay(String method, String path, byte[] body, Answerer answerer, Runnable failed) {
     relay(codec().encode(new PeerCodec.Relay(method, path, body)), 0, answerer, failed);
@@ -185,6 +214,9 @@
         PeerCodec.Announce a = codec().announce(x.body());
         listener.announced(a.node(), a.term());
         x.answer(204, AVRO, new byte[0], false);
+      } else if (x.path().equals(CANCELLED)) {
+        listener.cancelled(codec().cancelled(x.body()).jobs());
+        x.answer(204, AVRO, new byte[0], false);
       } else if (x.path().equals(RELAY)) {
         PeerCodec.Relay r = codec().relay(x.body());
         listener.relayed(
--- a/src/main/java/org/mallowroad/world/Checker.java
+++ b/src/main/java/org/mallowroad/world/Checker.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -71,6 +72,8 @@
   private final Map<String, Set<String>> machines = new TreeMap<>();
   private final List<Breach> breaches = new ArrayList<>();
   private Consumer<String> onStart = j -> {};
+  private Consumer<String> onCompleted = j -> {};
+  private long cancelledStarts;
   private long calmMs = Long.MAX_VALUE / 2;
   private long started;
   private long killed;
@@ -206,11 +209,72 @@
     this.onStart = told;
   }
 
+  /** Told of each job whose last task has just completed. */
+  void onCompleted(Consumer<String> told) {
+    this.onCompleted = told;
+  }
+
+  /** A submission that can never run or is malformed was answered. */
+  void answeredInvalid(String what, int status) {
+    if (status == 200 || status == 201) {
+      breach(null, "accepted_invalid", what + " got " + status);
+    }
+  }
+
+  /** Jobs whose users were told that they are cancelled. */
+  int cancelled() {
+    return (int) jobs.values().stream().filter(j -> j.withdrawnMs >= 0).count();
+  }
+
+  /** Tasks that started after their user was told that the job is cancelled. */
+  long cancelledStarts() {
+    return cancelledStarts;
+  }
+
+  /** Jobs with a task on a machine that nobody has cancelled, and where their tasks are. */
+  Map<String, Set<String>> running() {
+    Map<String, Set<String>> out = new TreeMap<>();
+    for (Job j : jobs.values()) {
+      if (j.accepted && !j.withdrawAsked && j.doneMs < 0 && !j.on.isEmpty()) {
+        out.put(j.spec.id, new TreeSet<>(j.on.values()));
+      }
+    }
+    return out;
+  }
+
+  /** Jobs whose users know of no end and wait for one, with how many tasks have completed. */
+  Map<Submitted, Set<Integer>> unfinishedJobs() {
+    Map<Submitted, Set<Integer>> out = new LinkedHashMap<>();
+    for (Job j : jobs.values()) {
+      if (j.accepted && !j.withdrawAsked && j.doneMs < 0 && j.withdrawnMs < 0) {
+        out.put(j.spec, j.completed);
+      }
+    }
+    return out;
+  }
+
+  /** What of its limit a team does not use. */
+  double leftOf(String team) {
+    return limits.get(team) - used.getOrDefault(team, 0.0);
+  }
+
   /** Something that others found broken. */
   void breach(String rule, String what) {
     breach(null, rule, what);
   }
 
+  /** What a task takes. */
+  double cpus(String task) {
+    Job j = jobs.get(jobOf(task));
+    return j == null ? 0 : j.spec.cpus;
+  }
+
+  /** True when its user was told an end. */
+  boolean told(String id) {
+    Job j = jobs.get(id);
+    return j != null && (j.doneMs >= 0 || j.withdrawnMs >= 0);
+  }
+
   /** True when its user was told that it is accepted. */
   boolean accepted(String id) {
     return jobs.containsKey(id) && jobs.get(id).accepted;
@@ -226,6 +290,7 @@
     if (other != null) {
       breach(j, "ran_twice", task + " starts on " + machine + " and is on " + other);
     }
+    cancelledStarts += j.withdrawnMs >= 0 ? 1 : 0;
     if (j.withdrawnMs >= 0 && now.getAsLong() > j.withdrawnMs + cancelMs) {
       breach(j, "ran_cancelled", task + " starts after its job was withdrawn");
     }
@@ -266,8 +331,10 @@
   public void exits(String task, String machine, boolean done) {
     Job j = jobs.get(jobOf(task));
     off(j, task, machine, done ? "done" : "stopped");
-    if (done) {
-      j.completed.add(Integer.parseInt(task.substring(task.lastIndexOf('/') + 1)));
+    if (done
+        && j.completed.add(Integer.parseInt(task.substring(task.lastIndexOf('/') + 1)))
+        && j.completed.size() == j.spec.tasks) {
+      onCompleted.accept(j.spec.id);
     }
   }
 
--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -63,7 +63,20 @@
     /** Transactions get no answer and are carried out seconds later, after newer ones. */
     LATE_WRITES(false),
     /** State service and peers are lost, not the workers, the users and the cloud. */
-    WORKERS_ONLY(true);
+    WORKERS_ONLY(true),
+    /** Listings get 429, whoever asks; all other calls to the state service are served. */
+    LISTS_CROWDED(false),
+    /** Some machines reach no controller, while direct orders reach them. */
+    MUTE(false),
+    /**
+     * Users cancel jobs that run and have long to go, all at once; with mode {@code hang} up to
+     * eight of their machines hang for that long.
+     */
+    CANCEL_NOW(false),
+    /** Jobs that end are cancelled, asked about and submitted again at the moment of their end. */
+    CANCEL_AT_END(false),
+    /** Submissions repeated, done jobs cancelled, jobs that fit nothing or lack a field. */
+    ODD_REQUESTS(false);
 
     /** True when it leaves some links of a controller up. */
     public final boolean partial;
--- a/src/main/java/org/mallowroad/world/Network.java
+++ b/src/main/java/org/mallowroad/world/Network.java
@@ -37,6 +37,9 @@
     /** True while nothing that is sent to it arrives, though what it sends does. */
     boolean deaf;
 
+    /** True while it reaches no controller, though they reach it. */
+    boolean mute;
+
     Party(Kind kind, int index, String name, String zone) {
       this.kind = kind;
       this.index = index;
@@ -100,8 +103,8 @@
     }
   }
 
-  /** What a deaf party's messages run into: nothing is said, and nothing held. */
-  private static final Cut DEAF = new Cut(null, null, Mode.LOST);
+  /** What a deaf or mute party's messages run into: nothing is said, and nothing held. */
+  private static final Cut SILENCE = new Cut(null, null, Mode.LOST);
 
   private static final long LATENCY_US = 400;
   private static final long AGAIN_US = 220_000;
@@ -148,7 +151,7 @@
 
   private Cut cutting(Party a, Party b) {
     if (b.deaf) {
-      return DEAF;
+      return SILENCE;
     }
     for (Cut c : cuts) {
       if (c.mode != Mode.LOSSY && c.cuts(a, b)) {
@@ -225,7 +228,7 @@
         && random.nextInt(lateReportOneIn) == 0) {
       lateReport(a, body);
     }
-    Cut c = cutting(a, b);
+    Cut c = a.mute && b.kind == Kind.NODE ? SILENCE : cutting(a, b);
     if (c == null) {
       travel(a, b, arrival);
       if (copyOneIn > 0 && a.kind != Kind.USERS && random.nextInt(copyOneIn) == 0) {
--- a/src/main/java/org/mallowroad/world/Plan.java
+++ b/src/main/java/org/mallowroad/world/Plan.java
@@ -77,6 +77,26 @@
     Fault.Kind.WORKERS_ONLY
   };
 
+  private static final Fault.Kind[] MEETINGS = {
+    Fault.Kind.STATE_REFUSES,
+    Fault.Kind.STATE_REFUSES,
+    Fault.Kind.STATE_OUT,
+    Fault.Kind.STATE_OUT,
+    Fault.Kind.STATE_SLOW,
+    Fault.Kind.WORKERS_ONLY,
+    Fault.Kind.MUTE,
+    Fault.Kind.DEAF,
+    Fault.Kind.LATE_REPORTS,
+    Fault.Kind.LATE_WRITES,
+    Fault.Kind.BACK_LEADERS,
+    Fault.Kind.BACK_ALL,
+    Fault.Kind.CRASH,
+    Fault.Kind.FREEZE,
+    Fault.Kind.HANG,
+    Fault.Kind.CUT_ZONE,
+    Fault.Kind.PEERS_REFUSED
+  };
+
   /** Without gangs. */
   public Plan(long seed, int nodes, int machines, int jobs, boolean links, List<Fault> faults) {
     this(seed, nodes, machines, jobs, links, faults, 0, 0, 0);
@@ -150,6 +170,30 @@
     return new Plan(p.seed, p.nodes, p.machines, p.jobs, p.links, p.faults, 2 + r.nextInt(4), 0, 0);
   }
 
+  /**
+   * A plan in which two or three troubles meet within seconds, and users cancel jobs that run long
+   * in the midst of them, some of whose machines hang; odd requests and cancellations at the end of
+   * jobs all the time. The service may be out for longer than a cancellation's time.
+   */
+  public static Plan meetings(long seed, boolean links) {
+    SplittableRandom r = new SplittableRandom(seed * 41 + 9);
+    int nodes = 3 + 2 * r.nextInt(3);
+    List<Fault> faults = new ArrayList<>();
+    long at = 20_000 + r.nextLong(25_000);
+    for (int i = 0; i < 2 + r.nextInt(2); i++) {
+      Fault f = draw(MEETINGS[r.nextInt(MEETINGS.length)], at + r.nextLong(4_000), nodes, r);
+      faults.add(f.kind() == Fault.Kind.STATE_OUT ? f.lasting(5_000 + r.nextLong(40_000)) : f);
+    }
+    String hang = r.nextBoolean() ? "hang" : "";
+    long cancel = at - 1_000 + r.nextLong(5_000);
+    faults.add(
+        new Fault(
+            Fault.Kind.CANCEL_NOW, cancel, 3_000 + r.nextLong(30_000), 0, 0, "a", hang, 0, 6));
+    faults.add(new Fault(Fault.Kind.CANCEL_AT_END, 5_000, 60_000, 0, 0, "a", "", 0, 3));
+    faults.add(new Fault(Fault.Kind.ODD_REQUESTS, 5_000, 60_000, 0, 0, "a", "", 0, 1));
+    return new Plan(seed, nodes, 6 + r.nextInt(10), 16 + r.nextInt(16), links, faults);
+  }
+
   /** The same troubles, beside rating jobs that fold games and prints that wait for them. */
   public static Plan ratings(long seed, boolean links) {
     SplittableRandom r = new SplittableRandom(seed * 29 + 3);
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -186,6 +187,7 @@
       long withdrawAfterMs,
       ObjectNode ties) {
     times.put(s.id(), new long[] {runMs, fetchMs});
+    jobs.put(s.id(), s);
     images.put(s.id(), "i-" + s.taskClass());
     checker.submits(s);
     open++;
@@ -200,6 +202,7 @@
       o.setAll(ties);
     }
     o.put("cairn_s", 0.0).put("stow_s", 0.0).put("due_s", 60.0);
+    bodies.put(s.id(), o);
     submit(s, Json.bytes(o));
     if (withdrawAfterMs > 0) {
       time.after(withdrawAfterMs * 1000, this, () -> withdraw(s, time.ms()));
@@ -271,6 +274,106 @@
         });
   }
 
+  private final Map<String, Checker.Submitted> jobs = new HashMap<>();
+  private final Map<String, ObjectNode> bodies = new LinkedHashMap<>();
+
+  /** Cancels a job, and goes on until it is told an end. */
+  void cancel(String id) {
+    withdraw(jobs.get(id), time.ms());
+  }
+
+  /** How long a task of the job runs. */
+  long runMs(String id) {
+    return times.get(id)[0];
+  }
+
+  /** Submits a job once more. */
+  void repeat(String id) {
+    long sentMs = time.ms();
+    ask(
+        "POST",
+        "/v1/jobs",
+        Json.bytes(bodies.get(id)),
+        SUBMIT_MS,
+        CONNECT_TRIES,
+        (status, standing) -> checker.submitted(id, status, standing, sentMs));
+  }
+
+  /** Asks about a job once. */
+  void question(String id) {
+    long sentMs = time.ms();
+    ask(
+        "GET",
+        "/v1/jobs/" + id,
+        NOTHING,
+        POLL_MS,
+        CONNECT_TRIES,
+        (status, standing) -> checker.told(id, status, standing, sentMs));
+  }
+
+  /** One of the odd things that users send, of some job that there is. */
+  void odd(int count) {
+    if (bodies.isEmpty()) {
+      return;
+    }
+    List<String> ids = new ArrayList<>(bodies.keySet());
+    String id = ids.get(random.nextInt(ids.size()));
+    if (checker.told(id)) {
+      cancel(id); // Done or cancelled: it stays what it was called.
+      return;
+    }
+    if (random.nextBoolean()) {
+      if (checker.accepted(id)) {
+        repeat(id);
+      }
+      return;
+    }
+    ObjectNode o = bodies.get(id).deepCopy();
+    o.put("name_id", String.format("job-8%05d", count));
+    String what = INVALID.get(random.nextInt(INVALID.size()));
+    String field = what.substring(0, what.indexOf(' '));
+    switch (what.substring(what.indexOf(' ') + 1)) {
+      case "absent" -> o.remove(field);
+      case "null" -> o.putNull(field);
+      case "text" -> o.put(field, "x");
+      case "negative" -> o.put(field, -1);
+      default -> o.put(field, 1e12);
+    }
+    ask(
+        "POST",
+        "/v1/jobs",
+        Json.bytes(o),
+        SUBMIT_MS,
+        CONNECT_TRIES,
+        (status, standing) -> checker.answeredInvalid(what, status));
+  }
+
+  /** A field and what is wrong with it; a team or a zone that is not there is text as well. */
+  private static final List<String> INVALID =
+      List.of(
+          "docket absent",
+          "crew null",
+          "crew text",
+          "form text",
+          "rank absent",
+          "moves negative",
+          "moves text",
+          "moves huge",
+          "cpus absent",
+          "cpus huge",
+          "mem_gb negative",
+          "kit absent",
+          "size_gb text",
+          "together null",
+          "scatter absent",
+          "driftwood text",
+          "reckon_s absent",
+          "cairn_s negative",
+          "stow_s null",
+          "ground text",
+          "builds text",
+          "due_s negative");
+
   /** Asks about a job that nobody has submitted. */
   void stray(String id) {
     ask(
--- a/src/main/java/org/mallowroad/world/WorkerModel.java
+++ b/src/main/java/org/mallowroad/world/WorkerModel.java
@@ -104,6 +104,25 @@
     this.at = random.nextInt(nodes.size());
   }
 
+  /** CPUs of what it has, fetching tasks too. */
+  double usedCpus() {
+    double sum = 0;
+    for (Task t : tasks.values()) {
+      sum += t.standing.equals("exited") ? 0 : checker.cpus(t.id);
+    }
+    return sum;
+  }
+
+  /** True when it has the task, fetching or running. */
+  boolean has(String task) {
+    for (Task t : tasks.values()) {
+      if (t.id.equals(task) && !t.standing.equals("exited")) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Where it listens. */
   String address() {
     return "w" + index + ":1";
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.function.IntSupplier;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
@@ -29,6 +32,12 @@
   public static final long SERVED_MS = 110_000;
 
   private static final long RESTART_MS = 3_000;
+  private static final int MOST_HUNG = 8;
+
+  /** What users cancel all at once was submitted so long before, and would run for so long. */
+  private static final long VICTIMS_MS = 16_000;
+
+  private static final long LONG_RUN_MS = 70_000;
   private static final long WALL_MS = 250;
   private static final List<String> TEAMS = List.of("red", "green", "blue");
   private static final List<String> CLASSES = List.of("short", "wide", "long");
@@ -46,6 +55,13 @@
   private final Map<String, Network.Party> directory = new HashMap<>();
   private final List<String> log = new ArrayList<>();
 
+  /** While above 0, one ending job in so many is cancelled at its end. */
+  private int atEndOneIn;
+
+  private int odd;
+  private long calmMs = Long.MAX_VALUE / 2;
+  private final Waiting waiting;
+
   /** Rating jobs and prints; null without them. */
   private RatingModel ratings;
 
@@ -57,6 +73,8 @@
    * @param workersMs the longest that a running worker went without an answered report
    * @param usersMs the longest that a user went without an answer about a job
    * @param taken images that came from another machine
+   * @param cancelled jobs whose users were told that they are cancelled
+   * @param cancelledStarts tasks that started after their user was told of the cancellation
    * @param recoveryMs the same after all troubles were over
    */
   public record Result(
@@ -71,6 +89,8 @@
       long usersMs,
       long recoveryMs,
       long taken,
+      int cancelled,
+      long cancelledStarts,
       long untilMs,
       long events) {
     /** True when no rule broke and all were served. */
@@ -92,7 +112,7 @@
       return String.format(
           java.util.Locale.ROOT,
           "seed=%d nodes=%d faults=%d started=%d killed=%d terms=%d workers_ms=%d users_ms=%d recovery_ms=%d taken=%d"
-              + " unfinished=%d least=%.2f until=%d events=%d breaches=%s",
+              + " cancelled=%d cancelled_starts=%d unfinished=%d least=%.2f until=%d events=%d breaches=%s",
           plan.seed(),
           plan.nodes(),
           plan.faults().size(),
@@ -103,6 +123,8 @@
           usersMs,
           recoveryMs,
           taken,
+          cancelled,
+          cancelledStarts,
           unfinished,
           least(),
           untilMs,
@@ -158,6 +180,9 @@
       ratings.load(plan.folds(), LOAD_MS);
     }
     plan.faults().forEach(this::schedule);
+    plan.faults().stream().filter(f -> f.kind() == Fault.Kind.CANCEL_NOW).forEach(this::victims);
+    checker.onCompleted(this::completed);
+    this.waiting = new Waiting(checker, cloud::workers);
     everySecond();
   }
 
@@ -176,6 +201,7 @@
         null,
         () -> {
           checker.look();
+          waiting.look(time.ms(), calmMs);
           everySecond();
         });
   }
@@ -472,6 +498,25 @@
         yield () -> network.lateWriteOneIn = 0;
       }
       case WORKERS_ONLY -> workersOnly(f, node);
+      case LISTS_CROWDED -> {
+        state.listsCrowded = true;
+        yield () -> state.listsCrowded = false;
+      }
+      case MUTE -> {
+        List<WorkerModel> mute = some(f.count());
+        mute.forEach(w -> w.mute = true);
+        yield () -> mute.forEach(w -> w.mute = false);
+      }
+      case CANCEL_NOW -> cancelNow(f);
+      case CANCEL_AT_END -> {
+        atEndOneIn = f.count();
+        yield () -> atEndOneIn = 0;
+      }
+      case ODD_REQUESTS -> {
+        boolean[] over = new boolean[1];
+        odd(over);
+        yield () -> over[0] = true;
+      }
       case COPIES -> {
         network.copyOneIn = 1 + f.count();
         yield () -> network.copyOneIn = 0;
@@ -479,6 +524,62 @@
     };
   }
 
+  /** Those that have longest to go are cancelled, within a fifth of a second. */
+  private Runnable cancelNow(Fault f) {
+    Map<String, Set<String>> running = checker.running();
+    List<String> longest = new ArrayList<>(running.keySet());
+    longest.sort(Comparator.comparingLong((String id) -> -users.runMs(id)));
+    List<String> chosen = longest.subList(0, Math.min(f.count(), longest.size()));
+    Set<String> names = new TreeSet<>();
+    for (String id : chosen) {
+      names.addAll(running.get(id));
+      time.after(random.nextLong(200_000), null, () -> users.cancel(id));
+    }
+    if (!f.mode().equals("hang")) {
+      return () -> {};
+    }
+    List<WorkerModel> hung = cloud.workers();
+    hung.removeIf(w -> !w.listens() || !names.contains(w.name));
+    List<WorkerModel> few = hung.subList(0, Math.min(MOST_HUNG, hung.size()));
+    few.forEach(Timeline.Being::freeze);
+    return () -> few.forEach(time::thaw);
+  }
+
+  /** Jobs that run long enough to be cancelled then; they are there before the trouble. */
+  private void victims(Fault f) {
+    for (int i = 0; i < f.count(); i++) {
+      long at = Math.max(1_000, f.atMs() - VICTIMS_MS) + 100L * i;
+      Checker.Submitted s =
+          new Checker.Submitted(
+              String.format("job-5%02d%03d", Math.floorMod(f.atMs() / 1_000, 100), i),
+              TEAMS.get(1 + i % 2),
+              "long",
+              1 + i % 3,
+              4,
+              null,
+              false,
+              false,
+              at);
+      time.after(at * 1000, null, () -> users.job(s, "urgent", LONG_RUN_MS, 500, 0, null));
+    }
+  }
+
+  private void completed(String id) {
+    if (atEndOneIn > 0 && random.nextInt(atEndOneIn) == 0) {
+      // Around the moment at which the end is committed, and each of them at its own.
+      time.after(random.nextLong(1_500_000), null, () -> users.cancel(id));
+      time.after(random.nextLong(1_500_000), null, () -> users.question(id));
+      time.after(random.nextLong(1_500_000), null, () -> users.repeat(id));
+    }
+  }
+
+  private void odd(boolean[] over) {
+    if (!over[0]) {
+      users.odd(odd++);
+      time.after(300_000 + random.nextLong(600_000), null, () -> odd(over));
+    }
+  }
+
   private static Runnable deaf(List<WorkerModel> workers) {
     workers.forEach(w -> w.deaf = true);
     return () -> workers.forEach(w -> w.deaf = false);
@@ -566,6 +667,7 @@
     for (Fault f : plan.faults()) {
       lastFault = Math.max(lastFault, f.atMs() + f.forMs());
     }
+    calmMs = lastFault;
     checker.calmFrom(lastFault);
     long least = Math.max(lastFault, LOAD_MS + 5_000);
     while (time.ms() < END_MS && (time.ms() < least || users.open() > 0)) {
@@ -591,6 +693,8 @@
         checker.longestMs(),
         checker.recoveryMs(),
         cloud.taken(),
+        checker.cancelled(),
+        checker.cancelledStarts(),
         time.ms(),
         time.events());
   }
--- /dev/null
+++ b/src/test/java/org/mallowroad/world/MeetingsTest.java
@@ -0,0 +1,322 @@
+package org.mallowroad.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.mallowroad.world.Fault.Kind;
+
+/**
+ * Two troubles that meet, each by a written plan on a few seeds: no rule breaks, all are served,
+ * and the meeting came about. In these worlds a lease lasts 13 s and a cancellation 28 s. The rows
+ * are those of docs/meetings.md, by name.
+ */
+final class MeetingsTest {
+  private static final int SEEDS = 4;
+  private static final int LEADER = -1;
+
+  private static Fault fault(Kind kind, long atMs, long forMs) {
+    return fault(kind, atMs, forMs, LEADER, 4);
+  }
+
+  private static Fault fault(Kind kind, long atMs, long forMs, int node, int count) {
+    return new Fault(kind, atMs, forMs, node, 0, "a", "hold", 0, count);
+  }
+
+  private static Fault cancel(long atMs) {
+    return fault(Kind.CANCEL_NOW, atMs, 1_000, 0, 8);
+  }
+
+  private static Fault cancelAndHang(long atMs, long forMs) {
+    return new Fault(Kind.CANCEL_NOW, atMs, forMs, 0, 0, "a", "hang", 0, 8);
+  }
+
+  private static Function<Long, Plan> of(Fault... faults) {
+    return seed -> new Plan(seed, 3, 10, 24, true, List.of(faults));
+  }
+
+  private static Function<Long, Plan> withoutLinks(Fault... faults) {
+    return seed -> new Plan(seed, 3, 10, 24, false, List.of(faults));
+  }
+
+  private static Function<Long, Plan> crowded(Fault... faults) {
+    return seed -> new Plan(seed, 3, 3, 60, true, List.of(faults));
+  }
+
+  private static World.Result play(Plan plan) {
+    try {
+      return new World(plan).play();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** On all seeds nothing breaks; on at least one {@code came} is seen. */
+  private static DynamicTest row(
+      String name, Function<Long, Plan> plan, Predicate<World.Result> came) {
+    return DynamicTest.dynamicTest(
+        name,
+        () -> {
+          List<World.Result> all =
+              LongStream.rangeClosed(1, SEEDS)
+                  .parallel()
+                  .mapToObj(seed -> play(plan.apply(seed)))
+                  .toList();
+          List<String> bad =
+              all.stream().filter(r -> !r.good()).map(r -> r.line() + " " + r.breaches()).toList();
+          assertEquals(List.of(), bad);
+          assertTrue(
+              all.stream().anyMatch(came),
+              () -> "the meeting came about: " + all.stream().map(World.Result::line).toList());
+        });
+  }
+
+  private static Predicate<World.Result> cancelled(int jobs) {
+    return r -> r.cancelled() >= jobs;
+  }
+
+  private static Predicate<World.Result> terms(int terms) {
+    return r -> r.terms() >= terms;
+  }
+
+  private static Predicate<World.Result> killed() {
+    return r -> r.killed() > 0;
+  }
+
+  /** The gap: its spans, who else is cut off, which leader it is, what the tasks do. */
+  @TestFactory
+  Stream<DynamicTest> theGap() {
+    Fault out = fault(Kind.STATE_OUT, 32_000, 40_000);
+    return Stream.of(
+        row(
+            "refused for 14 s, out a second later, for longer than cancel_s",
+            of(fault(Kind.STATE_REFUSES, 30_000, 14_000), cancel(30_100), out),
+            cancelled(6).and(killed())),
+        row(
+            "refused 3 s before, out for shorter than cancel_s",
+            of(fault(Kind.STATE_REFUSES, 29_000, 14_000), cancel(29_500), out.lasting(12_000)),
+            cancelled(6)),
+        row(
+            "refused 14 s before",
+            of(fault(Kind.STATE_REFUSES, 18_000, 30_000), cancel(31_000), out),
+            cancelled(6)),
+        row(
+            "refused 40 s before, without ways round cuts",
+            withoutLinks(
+                fault(Kind.STATE_REFUSES, 20_000, 60_000),
+                cancel(58_000),
+                fault(Kind.STATE_OUT, 60_000, 40_000)),
+            cancelled(6)),
+        row(
+            "without ways round cuts",
+            withoutLinks(fault(Kind.STATE_REFUSES, 30_000, 14_000), cancel(30_500), out),
+            cancelled(6)),
+        row(
+            "no controller reaches another",
+            of(
+                fault(Kind.PEERS_REFUSED, 29_000, 50_000),
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_500),
+                out),
+            cancelled(6)),
+        row(
+            "the leader reaches its workers alone",
+            of(fault(Kind.WORKERS_ONLY, 30_000, 50_000), cancel(31_000), out),
+            cancelled(6)),
+        row(
+            "confirmed in the last second before the outage, and machines hang",
+            of(cancelAndHang(31_200, 10_000), out),
+            cancelled(6)),
+        row(
+            "a new leader that can read nothing: the one before stands still as the jobs are"
+                + " cancelled, and an outage leaves the office empty for most of a lease",
+            of(
+                cancel(29_600),
+                fault(Kind.LISTS_CROWDED, 29_000, 40_000),
+                fault(Kind.FREEZE, 29_590, 60_000),
+                fault(Kind.STATE_OUT, 30_050, 7_000)),
+            cancelled(4).and(killed())),
+        row(
+            "a leader that is served and hears nothing: its watch is lost, and it cannot list anew",
+            of(
+                fault(Kind.LISTS_CROWDED, 28_000, 50_000),
+                fault(Kind.STATE_REFUSES, 29_000, 1_500),
+                cancel(33_000)),
+            cancelled(6).and(killed().negate())),
+        row(
+            "the same, and no controller hears of it from another",
+            of(
+                fault(Kind.LISTS_CROWDED, 28_000, 50_000),
+                fault(Kind.STATE_REFUSES, 29_000, 1_500),
+                fault(Kind.PEERS_REFUSED, 32_000, 40_000),
+                cancel(33_000)),
+            cancelled(6).and(killed())),
+        row(
+            "the old leader stands still in the middle",
+            of(
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_100),
+                fault(Kind.FREEZE, 30_500, 16_000),
+                out),
+            cancelled(6)),
+        row(
+            "the old leader ends in the middle",
+            of(
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_100),
+                fault(Kind.CRASH, 31_000, 3_000),
+                out),
+            cancelled(6)),
+        row(
+            "all controllers are back within a second while the outage lasts",
+            of(
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_100),
+                fault(Kind.BACK_ALL, 40_000, 20_000),
+                out),
+            cancelled(6)),
+        row(
+            "five terms around an outage",
+            of(
+                fault(Kind.BACK_LEADERS, 22_000, 70_000),
+                cancel(30_500),
+                out,
+                fault(Kind.STATE_OUT, 76_000, 12_000)),
+            cancelled(6).and(terms(5))),
+        row(
+            "machines that hear no answer",
+            of(
+                fault(Kind.DEAF, 28_000, 50_000, 0, 5),
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_100),
+                out),
+            cancelled(6).and(killed())));
+  }
+
+  @TestFactory
+  Stream<DynamicTest> eachMeeting() {
+    Fault odd = fault(Kind.ODD_REQUESTS, 5_000, 80_000, 0, 1);
+    return Stream.of(
+        row(
+            "workers reach no controller, orders reach them",
+            of(fault(Kind.MUTE, 25_000, 45_000, 0, 5), cancel(30_000), odd),
+            cancelled(6).and(killed())),
+        row(
+            "a leader left with workers and users, cancelled through the new one",
+            of(fault(Kind.WORKERS_ONLY, 28_000, 50_000), cancel(34_000)),
+            cancelled(6).and(terms(2))),
+        row(
+            "jobs of two or three tasks end far apart across changes of leader",
+            of(fault(Kind.BACK_LEADERS, 15_000, 60_000), odd),
+            terms(5)),
+        row(
+            "cancelled, asked about and submitted again at a job's end, nothing else",
+            of(fault(Kind.CANCEL_AT_END, 3_000, 90_000, 0, 1), odd),
+            cancelled(4).and(r -> r.terms() == 1)),
+        row(
+            "a leader ends while machines do not hear the next one",
+            of(
+                fault(Kind.DEAF, 26_000, 40_000, 0, 5),
+                cancel(29_500),
+                fault(Kind.CRASH, 30_000, 3_000)),
+            killed().and(terms(2))),
+        row(
+            "a leader ends while machines with long tasks cannot be reached",
+            of(
+                fault(Kind.CUT_ZONE, 26_000, 30_000),
+                fault(Kind.CRASH, 30_000, 3_000),
+                cancel(31_000)),
+            cancelled(6).and(terms(2))),
+        row(
+            "a report comes to a new leader that has acted",
+            of(
+                fault(Kind.LATE_REPORTS, 5_000, 80_000, 0, 1),
+                fault(Kind.CRASH, 30_000, 3_000),
+                fault(Kind.CRASH, 50_000, 3_000)),
+            terms(3)),
+        row(
+            "ten changes of leader in two minutes, some inside an outage",
+            of(
+                fault(Kind.BACK_LEADERS, 12_000, 110_000),
+                fault(Kind.STATE_OUT, 50_000, 12_000),
+                cancel(49_000)),
+            terms(10)),
+        row(
+            "the state service slow, then it refuses the leader, then everybody",
+            of(
+                fault(Kind.STATE_SLOW, 20_000, 60_000, 0, 25),
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(31_000),
+                fault(Kind.STATE_OUT, 36_000, 35_000)),
+            cancelled(4).and(killed())),
+        row(
+            "all controllers away for longer than lease_s",
+            of(
+                fault(Kind.FREEZE, 30_000, 20_000, 0, 1),
+                fault(Kind.FREEZE, 30_000, 20_000, 1, 1),
+                fault(Kind.FREEZE, 30_000, 20_000, 2, 1),
+                cancel(29_500)),
+            killed()),
+        row(
+            "old reports after newer ones, from earlier sessions too",
+            of(
+                fault(Kind.LATE_REPORTS, 5_000, 90_000, 0, 1),
+                fault(Kind.HANG, 25_000, 18_000, 0, 5)),
+            killed()),
+        row(
+            "offices go over and back, all end, one returns first, within a second",
+            of(
+                fault(Kind.BACK_ALL, 20_000, 25_000),
+                fault(Kind.FREEZE, 30_000, 9_000, 1, 1),
+                fault(Kind.FREEZE, 30_000, 9_000, 2, 1),
+                odd),
+            terms(4)),
+        row(
+            "teams at their limits, a new leader, machines that cannot be asked, a cancellation",
+            crowded(
+                fault(Kind.HANG, 28_000, 20_000, 0, 4),
+                cancel(29_500),
+                fault(Kind.CRASH, 30_000, 3_000)),
+            cancelled(4).and(terms(2))),
+        row(
+            "jobs bound to a zone lose machines",
+            of(
+                fault(Kind.DIE, 20_000, 1_000, 0, 5),
+                fault(Kind.DIE, 30_000, 1_000, 0, 5),
+                fault(Kind.DIE, 40_000, 1_000, 0, 5)),
+            r -> r.unfinished() == 0),
+        row(
+            "orders and answers held for seconds, and the machine goes on",
+            of(
+                fault(Kind.COPIES, 5_000, 80_000, 0, 0),
+                fault(Kind.HANG, 25_000, 11_000, 0, 6),
+                fault(Kind.CUT_WORKERS, 26_000, 10_000),
+                cancel(30_000)),
+            cancelled(6)),
+        row(
+            "a zone with workers and a controller cut off for longer than lease_s",
+            of(fault(Kind.CUT_ZONE, 25_000, 30_000), cancel(30_000), odd),
+            cancelled(6)),
+        row(
+            "transactions carried out late, after newer ones, and leaders change",
+            of(
+                fault(Kind.LATE_WRITES, 10_000, 70_000, 0, 1),
+                fault(Kind.BACK_LEADERS, 25_000, 30_000),
+                fault(Kind.CANCEL_AT_END, 3_000, 80_000, 0, 3)),
+            terms(3)),
+        row(
+            "more work than room, urgent and not, over slow links",
+            crowded(
+                new Fault(Kind.CUT_WORKERS, 10_000, 60_000, LEADER, 0, "a", "lossy", 0, 1),
+                fault(Kind.STATE_SLOW, 10_000, 60_000, 0, 10),
+                odd),
+            r -> r.unfinished() == 0));
+  }
+}
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -365,6 +366,14 @@
               t.now += 10_001;
               t.start("job-1/0", "m1", "a");
             }),
+        breaks(
+            "accepted_invalid",
+            "a job that lacks a field",
+            t -> {
+              t.checker.answeredInvalid("cpus absent", 400);
+              t.checker.answeredInvalid("cpus absent", 201);
+              t.finish();
+            }),
         breaks(
             "forgotten",
             "404",
@@ -426,4 +435,53 @@
               t.told("job-1", 200, "done");
             }));
   }
+
+  /** One machine of 8 CPUs in each zone; the job waits from the calm on for so long. */
+  private static List<String> waits(
+      int tasks, double cpus, String zone, boolean gang, String team, long ms) {
+    Told t = new Told();
+    Timeline time = new Timeline();
+    List<WorkerModel> up =
+        Plan.ZONES.stream()
+            .map(
+                z ->
+                    new WorkerModel(
+                        time,
+                        null,
+                        new SplittableRandom(1),
+                        List.of(new SimHost(time, null, e -> null, 0, "n0", z, 0, 0)),
+                        null,
+                        t.checker,
+                        2_000,
+                        13_000,
+                        1,
+                        "m-" + z,
+                        z))
+            .toList();
+    up.forEach(WorkerModel::up);
+    t.checker.submits(
+        new Checker.Submitted("job-2", team, "c", tasks, cpus, zone, gang, gang, t.now));
+    t.checker.submitted("job-2", 201, "queued", t.now);
+    Waiting w = new Waiting(t.checker, () -> up);
+    for (t.now = 0; t.now <= 5_000 + ms; t.now += 1_000) {
+      w.look(t.now, 5_000);
+    }
+    return t.checker.breaches().stream()
+        .filter(b -> b.what().startsWith("job-2"))
+        .map(Checker.Breach::rule)
+        .toList();
+  }
+
+  @Test
+  void aJobThatCouldRunIsNotLeftWaiting() {
+    List<String> left = List.of("left_waiting");
+    assertEquals(left, waits(3, 4, null, false, "green", 92_000));
+    assertEquals(List.of(), waits(3, 4, null, false, "green", 90_000));
+    assertEquals(left, waits(1, 8, "b", false, "green", 92_000));
+    assertEquals(List.of(), waits(1, 8, "c", false, "green", 92_000), "no machine in its zone");
+    assertEquals(List.of(), waits(1, 9, null, false, "green", 92_000), "no machine that fits");
+    assertEquals(List.of(), waits(1, 4, null, false, "red", 92_000), "its team is at its limit");
+    assertEquals(left, waits(2, 4, null, true, "green", 92_000));
+    assertEquals(List.of(), waits(3, 4, null, true, "green", 92_000), "a gang needs one zone");
+  }
 }
