--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/Watchman.java
@@ -7,13 +7,13 @@
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.Names;
 import org.mallowroad.core.WorkerReport;
-import org.mallowroad.core.health.Haste;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.core.health.HealthPolicy;
 import org.mallowroad.core.health.MachineHealth;
 import org.mallowroad.core.health.MachineHealth.Doubt;
 import org.mallowroad.core.health.Silence;
 import org.mallowroad.core.health.StandStill;
+import org.mallowroad.core.health.TokenBucket;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -87,8 +87,8 @@
   private final long term;
   private final long silentMs;
   private final long leaseMs;
-  private final Haste haste;
-  private final Haste[] zoneHaste;
+  private final TokenBucket returns;
+  private final TokenBucket[] zoneReturns;
   private final long[] directMs;
   private final boolean[] rerouted;
   private final int[] deafIn;
@@ -107,14 +107,14 @@
     this.silentMs = (long) (reportS * 1500) + SILENT_MS;
     this.leaseMs = (long) (leaseS * 1000);
     HealthPolicy p = health.policy();
-    this.haste = new Haste(p.hasteShare(), p.hasteLeast(), leaseMs, now);
-    this.zoneHaste = new Haste[zones.size()];
+    this.returns = new TokenBucket(p.hasteShare(), p.hasteLeast(), leaseMs, now);
+    this.zoneReturns = new TokenBucket[zones.size()];
     this.directMs = new long[zones.size()];
     this.rerouted = new boolean[zones.size()];
     this.deafIn = new int[zones.size()];
     Arrays.fill(directMs, now);
-    for (int z = 0; z < zoneHaste.length; z++) {
-      zoneHaste[z] = new Haste(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
+    for (int z = 0; z < zoneReturns.length; z++) {
+      zoneReturns[z] = new TokenBucket(p.cutReturns(), 1, CUT_LEASES * leaseMs, now);
     }
   }
 
@@ -267,8 +267,8 @@
     int known = health.silence().known(m.zone);
     boolean may =
         deafIn[m.zone] >= health.policy().cutLeast()
-            ? zoneHaste[m.zone].take(known, now)
-            : haste.take(ledger.machines().size(), now);
+            ? zoneReturns[m.zone].take(known, now)
+            : returns.take(ledger.machines().size(), now);
     if (may) {
       m.returning = true;
       line(m.name, "machine_deaf", m.session);
@@ -285,17 +285,17 @@
       // once their leases ran out. No lease proves that of machines that have not seen this term:
       // their tasks only a deletion frees, so those go as fast as silent machines go anywhere.
       if (!m.empty() && m.tokenSeen < term) {
-        return haste.take(ledger.machines().size(), now);
+        return returns.take(ledger.machines().size(), now);
       }
       // An empty one holds nothing up, but it may be gone for good: kept for ever it would hold the
       // zone cut, and nothing would be rented there any more.
       return (!m.empty() || ms > HOLD_LEASES * leaseMs)
-          && zoneHaste[zone].take(silence.known(zone), now);
+          && zoneReturns[zone].take(silence.known(zone), now);
     }
     if (silence.deaf(now) && ms <= leaseMs) {
       return false; // When most are silent the fault is rather on this side.
     }
-    return haste.take(ledger.machines().size(), now);
+    return returns.take(ledger.machines().size(), now);
   }
 
   /**
--- a/src/main/java/org/mallowroad/core/health/Haste.java
+++ b/src/main/java/org/mallowroad/core/health/TokenBucket.java
@@ -7,7 +7,7 @@
  * moment is back by then. Large schedulers bound their evictions in the same way when most of a
  * zone is silent.
  */
-public final class Haste {
+public final class TokenBucket {
   private final double share;
   private final double least;
   private final double refillMs;
@@ -15,7 +15,7 @@
   private long atMs;
 
   /** A share of the fleet, and {@code least} machines in any case, in each {@code refillMs}. */
-  public Haste(double share, int least, double refillMs, long now) {
+  public TokenBucket(double share, int least, double refillMs, long now) {
     this.share = share;
     this.least = least;
     this.refillMs = refillMs;
--- a/src/test/java/org/mallowroad/core/health/HealthTest.java
+++ b/src/test/java/org/mallowroad/core/health/HealthTest.java
@@ -357,13 +357,13 @@
   void hasteIsBounded(
       @ForAll @IntRange(min = 1, max = 2_000) int fleet,
       @ForAll @Size(min = 1, max = 200) List<@LongRange(min = 0, max = 5_000) Long> gaps) {
-    Haste haste = new Haste(0.25, 8, 26_000, 0);
+    TokenBucket bucket = new TokenBucket(0.25, 8, 26_000, 0);
     List<Long> taken = new ArrayList<>();
     long now = 0;
     for (long gap : gaps) {
       now += gap;
       for (int i = 0; i < 50; i++) {
-        if (haste.take(fleet, now)) {
+        if (bucket.take(fleet, now)) {
           taken.add(now);
         }
       }
