--- a/src/main/java/org/mallowroad/cloud/CloudApi.java
+++ b/src/main/java/org/mallowroad/cloud/CloudApi.java
@@ -9,8 +9,8 @@
 import org.mallowroad.core.Names;
 import org.mallowroad.net.Budget;
 import org.mallowroad.net.Caller;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -27,7 +27,7 @@
   public static final String TYPES = "/machine_types";
 
   private final Loop loop;
-  private final Seldom garbled = Seldom.usual();
+  private final LogLimiter garbled = LogLimiter.usual();
   private final Caller caller;
   private final Budget budget;
   private final Names typeNames;
--- a/src/main/java/org/mallowroad/controller/LinkDuties.java
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -17,8 +17,8 @@
 import org.mallowroad.net.Caller;
 import org.mallowroad.net.Host;
 import org.mallowroad.net.Incoming;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.peer.Detour;
 import org.mallowroad.peer.Forwarding;
 import org.mallowroad.wire.BadMessage;
@@ -79,7 +79,7 @@
   private final Forwarding forwarding;
   private final Caller stateDirect;
   private final Caller cloudDirect;
-  private final Seldom lines = new Seldom(20, 10_000);
+  private final LogLimiter lines = new LogLimiter(20, 10_000);
   private Election election;
   private WorkerClient workers;
   private Office office;
--- a/src/main/java/org/mallowroad/net/Seldom.java
+++ b/src/main/java/org/mallowroad/net/LogLimiter.java
@@ -4,7 +4,7 @@
  * Bounds what a broken party can make us log: a few lines in each stretch of time, then one that
  * says how many were left out. Not thread-safe: for the one loop.
  */
-public final class Seldom {
+public final class LogLimiter {
   private final int most;
   private final long everyMs;
   private long fromMs = Long.MIN_VALUE / 2;
@@ -12,14 +12,14 @@
   private long left;
 
   /** At most {@code most} lines in {@code everyMs}. */
-  public Seldom(int most, long everyMs) {
+  public LogLimiter(int most, long everyMs) {
     this.most = most;
     this.everyMs = everyMs;
   }
 
   /** The usual bound: five lines in ten seconds. */
-  public static Seldom usual() {
-    return new Seldom(5, 10_000);
+  public static LogLimiter usual() {
+    return new LogLimiter(5, 10_000);
   }
 
   /**
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -9,8 +9,8 @@
 import org.mallowroad.net.Caller;
 import org.mallowroad.net.Host;
 import org.mallowroad.net.Incoming;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 import org.slf4j.Logger;
@@ -33,7 +33,7 @@
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
-  private final Seldom garbled = Seldom.usual();
+  private final LogLimiter garbled = LogLimiter.usual();
   private PeerCodec codec;
   private final List<Caller> callers = new ArrayList<>();
   private final Listener listener;
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -8,8 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.mallowroad.net.Caller;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -22,7 +22,7 @@
   private static final long TIMEOUT_MS = 1500;
 
   private final Loop loop;
-  private final Seldom garbled = Seldom.usual();
+  private final LogLimiter garbled = LogLimiter.usual();
   private final Caller caller;
   private final Caller follower;
   private long contactMs = Long.MIN_VALUE / 2;
--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -5,8 +5,8 @@
 import org.mallowroad.api.Reply;
 import org.mallowroad.core.WorkerReport;
 import org.mallowroad.net.Incoming;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
@@ -20,7 +20,7 @@
 
   private final Loop loop;
   private final Reports reports;
-  private final Seldom garbled = Seldom.usual();
+  private final LogLimiter garbled = LogLimiter.usual();
   private long wrong;
 
   /** What the node does with reports. */
--- a/src/main/java/org/mallowroad/worker/WorkerClient.java
+++ b/src/main/java/org/mallowroad/worker/WorkerClient.java
@@ -7,8 +7,8 @@
 import org.mallowroad.core.WorkerReport;
 import org.mallowroad.net.Caller;
 import org.mallowroad.net.Host;
+import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
-import org.mallowroad.net.Seldom;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 import org.mallowroad.wire.WorkerCodec;
@@ -25,7 +25,7 @@
   private static final int MOST_BYTES = 64 * 1024;
 
   private final Loop loop;
-  private final Seldom odd = Seldom.usual();
+  private final LogLimiter odd = LogLimiter.usual();
   private final Host host;
   private Bypass bypass;
   private final int maxWorkers;
--- a/src/test/java/org/mallowroad/net/SeldomTest.java
+++ b/src/test/java/org/mallowroad/net/LogLimiterTest.java
@@ -5,10 +5,10 @@
 import org.junit.jupiter.api.Test;
 
 /** A broken party causes a bounded number of lines, whatever it sends. */
-final class SeldomTest {
+final class LogLimiterTest {
   @Test
   void linesAreBoundedInEachStretchAndTheRestIsCounted() {
-    Seldom s = new Seldom(3, 1_000);
+    LogLimiter s = new LogLimiter(3, 1_000);
     int lines = 0;
     long left = 0;
     for (long now = 0; now < 10_000; now++) {
