--- a/src/main/java/org/mallowroad/controller/Watchman.java
+++ b/src/main/java/org/mallowroad/controller/FailureResponder.java
@@ -50,8 +50,8 @@
  * one finds it false; workers are answered only once the lease has been asked for again; and
  * silence counts anew, for this side did not listen.
  */
-final class Watchman {
-  private static final Logger LOG = LoggerFactory.getLogger(Watchman.class);
+final class FailureResponder {
+  private static final Logger LOG = LoggerFactory.getLogger(FailureResponder.class);
 
   private static final long SILENT_MS = 2_000;
 
@@ -97,7 +97,7 @@
   private long leftOut;
 
   /** For workers that report every {@code reportS} and hold leases of {@code leaseS}. */
-  Watchman(Ledger ledger, Names zones, double reportS, double leaseS, long term, long now) {
+  FailureResponder(Ledger ledger, Names zones, double reportS, double leaseS, long term, long now) {
     this.ledger = ledger;
     this.health = ledger.health();
     this.zones = zones;
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -47,7 +47,7 @@
   private final Fleet fleet;
   private final Budget writes;
   private final int maxOps;
-  private final Watchman watchman;
+  private final FailureResponder responder;
   private final long term;
   private final long mark;
   private final Office office;
@@ -110,7 +110,7 @@
       CloudApi cloud,
       Site site,
       Ledger ledger,
-      Watchman watchman,
+      FailureResponder responder,
       Budget writes,
       int maxOps,
       long term,
@@ -123,7 +123,7 @@
     this.ledger = ledger;
     this.writes = writes;
     this.maxOps = maxOps;
-    this.watchman = watchman;
+    this.responder = responder;
     this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
@@ -278,7 +278,7 @@
 
   private void judge() {
     if (!stopped && office.firm()) {
-      watchman.judge(loop.now());
+      responder.judge(loop.now());
       judgeExpected(loop.now());
       sendDeletes();
     }
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -66,7 +66,7 @@
   private final Placement placement;
   private final Committer committer;
   private final FleetManager fleet;
-  private final Watchman watchman;
+  private final FailureResponder responder;
   private final Consumer<Job> onEnd;
   private final IntSupplier peersNear;
   private final long startedMs;
@@ -128,8 +128,8 @@
             new Health(
                 site.operator.health(), site.zones.size(), site.settings.reportS(), startedMs),
             site.operator.fetches());
-    this.watchman =
-        new Watchman(
+    this.responder =
+        new FailureResponder(
             ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
     this.placement = new Placement(ledger);
     this.view =
@@ -208,7 +208,7 @@
             cloud,
             site,
             ledger,
-            watchman,
+            responder,
             writes,
             maxOps,
             term,
@@ -307,8 +307,8 @@
    * From the first moment on, or a takeover that waits for its lists would look like a standstill.
    */
   private void beat() {
-    watchman.turn(loop.now());
-    watchman.beat();
+    responder.turn(loop.now());
+    responder.beat();
     early.turnAway(loop.now());
   }
 
@@ -504,7 +504,7 @@
   /**
    * True when this leader's lease must be over and no peer is heard: then it is cut off, and
    * another leads; or the state service is away and so are the peers. Nothing here tells the two
-   * apart, but a worker that looks round does ({@link Watchman#sendRound}).
+   * apart, but a worker that looks round does ({@link FailureResponder#sendRound}).
    */
   private boolean alone(long now) {
     return site.settings.nodes() > 1
@@ -528,7 +528,7 @@
    */
   void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
     long now = loop.now();
-    watchman.turn(now);
+    responder.turn(now);
     if (!loaded) {
       // An answer before the records are read stops nothing that was cancelled, whoever gives it.
       heard = true;
@@ -537,8 +537,8 @@
       return;
     }
     if (view.stale(now)
-        || watchman.unsure(election.renewedMs(), now)
-        || (alone(now) && watchman.sendRound(r, now))) {
+        || responder.unsure(election.renewedMs(), now)
+        || (alone(now) && responder.sendRound(r, now))) {
       reply.accept(null);
       return;
     }
@@ -557,10 +557,10 @@
     }
     heard = true;
     heardMs = now;
-    watchman.came(m.zone, via < 0, now);
+    responder.came(m.zone, via < 0, now);
     fleet.reported(m);
     m.via = via;
-    watchman.reported(m, loop.now());
+    responder.reported(m, loop.now());
     advance();
     if (!firm() || !ledger.mayGetWork(m, loop.now()) || !placement.anyWaiting()) {
       reply.accept(WorkerCodec.orders(m.token, orders));
--- a/src/test/java/org/mallowroad/controller/WatchmanTest.java
+++ b/src/test/java/org/mallowroad/controller/FailureResponderTest.java
@@ -26,7 +26,7 @@
 import org.mallowroad.core.health.HealthPolicy;
 
 /** Many machines fall together: what is returned, what is rented, what is only waited for. */
-final class WatchmanTest {
+final class FailureResponderTest {
   private static final long TERM = 7;
   private static final long LEASE_MS = 26_000;
 
@@ -37,7 +37,7 @@
         new MachineType(0, "t4", 4, 0, 64, 100, 1, 1.0, 0.5, 30, new int[] {0, 1});
     final Health health;
     final Ledger ledger;
-    final Watchman watchman;
+    final FailureResponder responder;
     final Placement placement;
     final Fleet fleet;
     final List<Machine> machines = new ArrayList<>();
@@ -58,7 +58,7 @@
       health = new Health(HealthPolicy.defaults(), 2, 4, now);
       Team team = new Team("t", 1e6, 0, 1e6, 0);
       ledger = new Ledger(TERM, 26, 4, List.of(team), zones, health);
-      watchman = new Watchman(ledger, zones, 4, 26, TERM, now);
+      responder = new FailureResponder(ledger, zones, 4, 26, TERM, now);
       placement = new Placement(ledger);
       fleet = new Fleet(ledger, FleetPolicy.defaults(), new Objectives());
       job = ledger.accept(Specs.array("job-1", 160, 1).spot().build(), 5, 0, now);
@@ -92,14 +92,14 @@
           true,
           now);
       m.answeredMs = now;
-      watchman.reported(m, now);
+      responder.reported(m, now);
     }
 
     /** Time passes; machines from {@code from} to {@code to} are not heard. */
     void pass(long ms, int from, int to) {
       for (long end = now + ms; now < end; now += 250) {
-        watchman.turn(now);
-        watchman.beat();
+        responder.turn(now);
+        responder.beat();
         for (int i = 0; i < machines.size(); i++) {
           Machine m = machines.get(i);
           boolean heard = i < from || i >= to;
@@ -108,7 +108,7 @@
           }
         }
         ledger.expireSilent(now);
-        watchman.judge(now);
+        responder.judge(now);
       }
     }
 
@@ -249,11 +249,11 @@
             w -> {
               long renewed = w.now;
               w.now += 20_000;
-              w.watchman.turn(w.now);
-              assertTrue(w.watchman.unsure(renewed, w.now));
-              assertFalse(w.watchman.unsure(w.now + 10, w.now + 20), "renewed since");
+              w.responder.turn(w.now);
+              assertTrue(w.responder.unsure(renewed, w.now));
+              assertFalse(w.responder.unsure(w.now + 10, w.now + 20), "renewed since");
               // In an outage nobody can be asked: the answers go on, so that leases live.
-              assertFalse(w.watchman.unsure(renewed, w.now + 1_500));
+              assertFalse(w.responder.unsure(renewed, w.now + 1_500));
               w.pass(4_500, 0, 40);
               assertEquals(0, w.returned());
               w.pass(20_000, 0, 0);
@@ -314,12 +314,12 @@
             w -> {
               WorkerReport r =
                   Specs.report(w.machines.get(0), 900, TERM, WorkerReport.State.RUNNING);
-              assertTrue(w.watchman.sendRound(r, w.now));
-              assertFalse(w.watchman.sendRound(r, w.now + 6_000));
-              assertFalse(w.watchman.sendRound(r, w.now + LEASE_MS - 1));
-              assertTrue(w.watchman.sendRound(r, w.now + LEASE_MS));
+              assertTrue(w.responder.sendRound(r, w.now));
+              assertFalse(w.responder.sendRound(r, w.now + 6_000));
+              assertFalse(w.responder.sendRound(r, w.now + LEASE_MS - 1));
+              assertTrue(w.responder.sendRound(r, w.now + LEASE_MS));
               assertTrue(
-                  w.watchman.sendRound(
+                  w.responder.sendRound(
                       Specs.report(w.machines.get(1), 900, TERM, WorkerReport.State.RUNNING),
                       w.now + 10));
             }),
