--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -66,6 +66,8 @@
     WORKERS_ONLY(true),
     /** Listings get 429, whoever asks; all other calls to the state service are served. */
     LISTS_CROWDED(false),
+    /** Readings of how jobs ended get 429, whoever asks. */
+    ENDS_CROWDED(false),
     /** Some machines reach no controller, while direct orders reach them. */
     MUTE(false),
     /**
--- a/src/main/java/org/mallowroad/world/StateModel.java
+++ b/src/main/java/org/mallowroad/world/StateModel.java
@@ -30,6 +30,9 @@
   /** Listings are refused as one call too many. */
   boolean listsCrowded;
 
+  /** Readings of how a job ended are refused as one call too many. */
+  boolean endsCrowded;
+
   /** The node that alone is not served, or -1. */
   int refused = -1;
 
@@ -87,7 +90,9 @@
       secondMs = time.ms();
       calls = 0;
     }
-    if (++calls > rps || (listsCrowded && target.startsWith("/kv?"))) {
+    if (++calls > rps
+        || (listsCrowded && target.startsWith("/kv?"))
+        || (endsCrowded && target.startsWith("/kv/end/"))) {
       reply.answer(429, EMPTY);
       return;
     }
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -505,6 +505,10 @@
         state.listsCrowded = true;
         yield () -> state.listsCrowded = false;
       }
+      case ENDS_CROWDED -> {
+        state.endsCrowded = true;
+        yield () -> state.endsCrowded = false;
+      }
       case MUTE -> {
         List<WorkerModel> mute = some(f.count());
         mute.forEach(w -> w.mute = true);
--- a/src/test/java/org/mallowroad/world/MeetingsTest.java
+++ b/src/test/java/org/mallowroad/world/MeetingsTest.java
@@ -158,6 +158,13 @@
                 fault(Kind.PEERS_REFUSED, 32_000, 40_000),
                 cancel(33_000)),
             cancelled(6).and(killed())),
+        row(
+            "a leader that hears that jobs are over, and cannot read how they ended",
+            of(
+                fault(Kind.ENDS_CROWDED, 32_000, 45_000),
+                fault(Kind.PEERS_REFUSED, 32_000, 45_000),
+                cancel(33_000)),
+            cancelled(6).and(killed())),
         row(
             "the old leader stands still in the middle",
             of(
