--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -72,7 +72,8 @@
     MUTE(false),
     /**
      * Users cancel jobs that run and have long to go, all at once; with mode {@code hang} up to
-     * eight of their machines hang for that long.
+     * eight of their machines hang for that long, with {@code fetch} it is jobs whose tasks wait
+     * for their image.
      */
     CANCEL_NOW(false),
     /** Jobs that end are cancelled, asked about and submitted again at the moment of their end. */
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.IntSupplier;
+import java.util.stream.IntStream;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
 import org.mallowroad.config.Settings.Endpoint;
@@ -38,6 +39,7 @@
   private static final long VICTIMS_MS = 16_000;
 
   private static final long LONG_RUN_MS = 70_000;
+  private static final long FETCH_MS = 9_000;
   private static final long WALL_MS = 250;
   private static final List<String> TEAMS = List.of("red", "green", "blue");
   private static final List<String> CLASSES = List.of("short", "wide", "long");
@@ -537,9 +539,12 @@
     List<String> longest = new ArrayList<>(running.keySet());
     longest.sort(Comparator.comparingLong((String id) -> -users.runMs(id)));
     List<String> chosen = longest.subList(0, Math.min(f.count(), longest.size()));
+    if (f.mode().equals("fetch")) {
+      chosen = IntStream.range(0, f.count()).mapToObj(i -> victim(f, i)).toList();
+    }
     Set<String> names = new TreeSet<>();
     for (String id : chosen) {
-      names.addAll(running.get(id));
+      names.addAll(running.getOrDefault(id, Set.of()));
       time.after(random.nextLong(200_000), null, () -> users.cancel(id));
     }
     if (!f.mode().equals("hang")) {
@@ -554,23 +559,24 @@
 
   /** Jobs that run long enough to be cancelled then; they are there before the trouble. */
   private void victims(Fault f) {
+    boolean fetch = f.mode().equals("fetch");
     for (int i = 0; i < f.count(); i++) {
-      long at = Math.max(1_000, f.atMs() - VICTIMS_MS) + 100L * i;
+      long before = fetch ? FETCH_MS / 2 : VICTIMS_MS;
+      long at = Math.max(1_000, f.atMs() - before) + 100L * i;
       Checker.Submitted s =
           new Checker.Submitted(
-              String.format("job-5%02d%03d", Math.floorMod(f.atMs() / 1_000, 100), i),
-              TEAMS.get(1 + i % 2),
-              "long",
-              1 + i % 3,
-              4,
-              null,
-              false,
-              false,
-              at);
-      time.after(at * 1000, null, () -> users.job(s, "urgent", LONG_RUN_MS, 500, 0, null));
+              victim(f, i), TEAMS.get(1 + i % 2), "long", 1 + i % 3, 4, null, false, false, at);
+      time.after(
+          at * 1000,
+          null,
+          () -> users.job(s, "urgent", LONG_RUN_MS, fetch ? FETCH_MS : 500, 0, null));
     }
   }
 
+  private static String victim(Fault f, int i) {
+    return String.format("job-5%02d%03d", Math.floorMod(f.atMs() / 1_000, 100), i);
+  }
+
   private void completed(String id) {
     if (atEndOneIn > 0 && random.nextInt(atEndOneIn) == 0) {
       // Around the moment at which the end is committed, and each of them at its own.
--- a/src/test/java/org/mallowroad/world/MeetingsTest.java
+++ b/src/test/java/org/mallowroad/world/MeetingsTest.java
@@ -165,6 +165,31 @@
                 fault(Kind.PEERS_REFUSED, 32_000, 45_000),
                 cancel(33_000)),
             cancelled(6).and(killed())),
+        row(
+            "tasks that wait for their image as their jobs are cancelled",
+            of(
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                new Fault(Kind.CANCEL_NOW, 30_100, 1_000, 0, 0, "a", "fetch", 0, 8),
+                out),
+            cancelled(6)),
+        row(
+            "a new leader that has read some: the service is slow, and out as it reads",
+            seed ->
+                of(
+                        fault(Kind.STATE_SLOW, 26_000, 10_000, 0, 30),
+                        cancel(27_700),
+                        fault(Kind.CRASH, 28_000, 3_000),
+                        fault(Kind.STATE_OUT, 28_600 + 120 * seed, 40_000))
+                    .apply(seed),
+            cancelled(4)),
+        row(
+            "a new leader that has read all",
+            of(
+                fault(Kind.CRASH, 24_000, 3_000),
+                fault(Kind.STATE_REFUSES, 30_000, 14_000),
+                cancel(30_100),
+                out),
+            cancelled(6).and(terms(2))),
         row(
             "the old leader stands still in the middle",
             of(
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -436,6 +436,22 @@
             }));
   }
 
+  @Test
+  void startsAfterTheWordAndHowLongTasksOutlastItAreCounted() {
+    Told t = new Told();
+    t.checker.withdraws("job-1");
+    t.told("job-1", 200, "withdrawn");
+    t.now += 2_000;
+    t.start("job-1/1", "m1", "a");
+    t.now += 500;
+    t.checker.exits("job-1/0", "m1", false);
+    t.checker.exits("job-1/1", "m1", false);
+    assertEquals(1, t.checker.cancelledStarts());
+    assertEquals(2_500, t.checker.goneMs());
+    assertEquals(1, t.checker.cancelled());
+    assertEquals(List.of(), t.checker.breaches());
+  }
+
   /** One machine of 8 CPUs in each zone; the job waits from the calm on for so long. */
   private static List<String> waits(
       int tasks, double cpus, String zone, boolean gang, String team, long ms) {
