--- /dev/null
+++ b/src/test/java/org/mallowroad/controller/EarlyReportsTest.java
@@ -0,0 +1,65 @@
+package org.mallowroad.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.mallowroad.Clockwork;
+import org.mallowroad.core.WorkerReport;
+
+/** What becomes of reports that come before a leader has read the records. */
+final class EarlyReportsTest {
+  private final Clockwork c = new Clockwork();
+  private final Clockwork.Process p = c.new Process();
+  private final EarlyReports early = new EarlyReports();
+  private final List<String> turnedAway = new ArrayList<>();
+  private final List<String> known = new ArrayList<>();
+  private final List<String> taken = new ArrayList<>();
+
+  private void comes(String machine, long seq, long now) {
+    WorkerReport r = new WorkerReport(machine, "h:1", "t", "a", false, 1, seq, 0, -1, List.of());
+    early.add(r, -1, orders -> turnedAway.add(machine + " " + seq), now);
+  }
+
+  private void take() {
+    early.take(
+        p, r -> known.add(r.machine()), (r, via, reply) -> taken.add(r.machine() + " " + r.seq()));
+  }
+
+  @Test
+  void isHeldForAWhileThenTurnedAwayAndItsMachineIsKnown() {
+    comes("a", 1, 0);
+    comes("b", 1, 1_500);
+    early.turnAway(2_000);
+    assertEquals(List.of(), turnedAway);
+    early.turnAway(2_001);
+    assertEquals(List.of("a 1"), turnedAway);
+    take();
+    assertEquals(List.of("a"), known);
+    assertEquals(List.of("b 1"), taken);
+    take();
+    assertEquals(List.of("b 1"), taken, "each once");
+  }
+
+  @Test
+  void aNewerOneOfTheSameMachineTakesItsPlace() {
+    comes("a", 1, 0);
+    comes("a", 2, 100);
+    assertEquals(List.of("a 1"), turnedAway);
+    take();
+    assertEquals(List.of("a 2"), taken);
+  }
+
+  @Test
+  void manyAreTakenAFewInATurnAndBeyondTheBoundTurnedAwayAtOnce() {
+    IntStream.range(0, 4_010).forEach(i -> comes("m" + i, 1, 0));
+    assertEquals(10, turnedAway.size());
+    take();
+    assertEquals(24, taken.size());
+    c.run(1_000);
+    assertEquals(4_000, taken.size());
+    assertEquals("m3999 1", taken.get(3_999));
+  }
+}
