--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -529,6 +529,10 @@
   void report(WorkerReport r, int via, Consumer<ObjectNode> reply) {
     long now = loop.now();
     responder.turn(now);
+    if (stopped) {
+      reply.accept(null); // Held since before the office ended.
+      return;
+    }
     if (!loaded) {
       // An answer before the records are read stops nothing that was cancelled, whoever gives it.
       heard = true;
