Gangs wait for what ends within 200 s in place of giving up what is nearly complete

Cause: without a free machine at the cloud a place counted only if all that runs there ended within 110 s; gatherings of 42 of 44 places were given up after 4 s, the zone filled again, and waits of 30 s doubled. A variant asked for again after 20 s counted as one that can be rented, so that held machines were let go. Change: a horizon of 200 s, the place that is complete first, 210 s a gathering at most, and of a refused variant only what was lost of it since.

--- a/src/main/java/org/mallowroad/core/gang/Gathering.java
+++ b/src/main/java/org/mallowroad/core/gang/Gathering.java
@@ -43,7 +43,7 @@
  */
 public final class Gathering {
   /** A gathering that takes longer is given up. */
-  static final long MOST_MS = 130_000;
+  public static final long MOST_MS = 210_000;
 
   /** A place that could not complete a gang is left alone by it for so long, doubled each time. */
   static final long BACKOFF_MS = 30_000;
@@ -53,8 +53,12 @@
   /** Machines that never come are rented again, within this and twice what is needed. */
   static final int RENT_SLACK = 4;
 
-  /** Room that comes free by itself is worth waiting for, where the cloud has no more machines. */
-  private static final long FAR_MS = 110_000;
+  /**
+   * Room that comes free by itself is worth waiting for that long, where the cloud has no more
+   * machines. The longest tasks that stand in a gang's way run for about as long; with half of it
+   * gangs gave up what was nearly complete, again and again (docs/incidents, gangs-gave-up).
+   */
+  private static final long HORIZON_MS = 200_000;
 
   /** Of so many machines and more a few are expected never to come, or late. */
   private static final int SOME = 8;
@@ -234,13 +238,9 @@
       }
       long boot = bootMs(job.spec, zone, now);
       int near = sum(job, options(job, zone, now + Math.max(0, boot)));
-      long at = Long.MAX_VALUE;
-      if (near >= need(job)) {
-        at = now;
-      } else if (boot >= 0 && ceiling(job.spec, zone, now) >= need(job)) {
-        at = now + boot;
-      } else if (sum(job, options(job, zone, now + FAR_MS)) >= need(job)) {
-        at = now + FAR_MS;
+      long at = completeMs(job, zone, now);
+      if (boot >= 0 && near + rentable(job.spec, zone, now) >= need(job)) {
+        at = Math.min(at, now + boot);
       }
       if (at < bestAt || (at == bestAt && at < Long.MAX_VALUE && near > bestNear)) {
         best = zone;
@@ -258,14 +258,32 @@
     return g;
   }
 
+  /** When the machines that there are have room for the whole gang; the largest long for never. */
+  private long completeMs(Job job, int zone, long now) {
+    int[] inZone = new int[ledger.zones()];
+    int places = 0;
+    for (Option o : options(job, zone, now + HORIZON_MS)) {
+      int some = Math.min(o.holds, job.spec.zoneCap() - inZone[o.machine.zone]);
+      inZone[o.machine.zone] += Math.max(0, some);
+      places += Math.max(0, some);
+      if (places >= need(job)) {
+        return o.atMs;
+      }
+    }
+    return Long.MAX_VALUE;
+  }
+
   /** How long a machine rented now for the gang takes; -1 where none can be rented. */
   private long bootMs(JobSpec s, int zone, long now) {
     Variant v = cheapest(s, zone, now);
     return v == null ? -1 : (long) (v.type().bootS() * 1050);
   }
 
-  /** The most tasks that the place's machines have room for, by what the cloud has refused. */
-  private long ceiling(JobSpec s, int zone, long now) {
+  /**
+   * The most tasks that machines rented now could have room for. Of a variant that was refused the
+   * cloud has no more than there were then: what it may give is what was lost of it since.
+   */
+  private long rentable(JobSpec s, int zone, long now) {
     long sum = 0;
     for (MachineType t : types) {
       for (int z : t.zones()) {
@@ -273,7 +291,8 @@
           Variant v = new Variant(t, z, k == 0);
           if ((zone < 0 || z == zone) && t.fits(s) && s.allows(t.index(), z, v.spot())) {
             long[] c = ceilings.get(v.key());
-            sum += c == null || c[0] < now ? s.tasks() : c[1] * t.holds(s);
+            boolean unknown = c == null || c[0] < now;
+            sum += unknown ? s.tasks() : Math.max(0, c[1] - count(v)) * t.holds(s);
           }
         }
       }
@@ -281,6 +300,15 @@
     return sum;
   }
 
+  private int count(Variant v) {
+    int n = 0;
+    for (Machine m : ledger.machines()) {
+      boolean is = m.type.index() == v.type().index() && m.zone == v.zone() && m.spot == v.spot();
+      n += is && !m.failed && !m.returning ? 1 : 0;
+    }
+    return n;
+  }
+
   private Variant cheapest(JobSpec s, int zone, long now) {
     Variant best = null;
     double least = Double.MAX_VALUE;
@@ -408,9 +436,12 @@
       return;
     }
     g.lookedMs = now;
-    // While machines can be rented, what comes free later than one would boot is left to others.
+    // While machines can be rented, what comes free later than one would boot is left to others. A
+    // variant that was refused a moment ago is asked for again, and is not one that can be rented:
+    // each time the machines that were held would have been filled again.
     long boot = bootMs(g.job.spec, g.zone, now);
-    long by = now + (boot >= 0 ? boot : FAR_MS);
+    boolean enough = boot >= 0 && rentable(g.job.spec, g.zone, now) >= need(g.job) - g.places;
+    long by = now + (enough ? boot : HORIZON_MS);
     int wanted = need(g.job) - g.coming;
     int[] inZone = new int[ledger.zones()];
     int places = 0;
@@ -500,7 +531,7 @@
       if (v == null) {
         // The cloud has no more: what is there and coming must do, or another place.
         if (there < need(g.job)
-            && sum(g.job, options(g.job, g.zone, now + FAR_MS)) + g.coming < need(g.job)) {
+            && sum(g.job, options(g.job, g.zone, now + HORIZON_MS)) + g.coming < need(g.job)) {
           fail(g, now);
         }
         continue;
