--- /dev/null
+++ b/src/main/java/org/mallowroad/api/CancelRequests.java
@@ -0,0 +1,85 @@
+package org.mallowroad.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.mallowroad.net.Budget;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.HoldCodec;
+
+/** Takes users' requests to cancel a job; nobody is told before the end record is committed. */
+final class CancelRequests {
+  private static final int MOST_RETRIES = 2;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final JobLookup lookup;
+  private final Budget writes;
+
+  CancelRequests(Loop loop, StateStore state, JobLookup lookup, Budget writes) {
+    this.loop = loop;
+    this.state = state;
+    this.lookup = lookup;
+    this.writes = writes;
+  }
+
+  /** POST /v1/jobs/{id}/withdraw. */
+  void cancel(Answerer x, String id) {
+    cancel(x, id, 0);
+  }
+
+  private void cancel(Answerer x, String id, int retries) {
+    lookup.read(
+        id,
+        new JobLookup.RecordListener() {
+          @Override
+          public void open(JsonNode value, long mark) {
+            commit(x, id, value, mark, retries);
+          }
+
+          @Override
+          public void over(boolean done) {
+            x.answer(200, JobLookup.status(id, done), false);
+          }
+
+          @Override
+          public void absent() {
+            x.answer(404, Reply.reason("no such job"), false);
+          }
+
+          @Override
+          public void failed() {
+            JobLookup.unreachable(x);
+          }
+        });
+  }
+
+  private void commit(Answerer x, String id, JsonNode value, long mark, int retries) {
+    Txn txn =
+        new Txn()
+            .given(Records.open(id), mark)
+            .given(Records.end(id), 0)
+            .put(Records.end(id), Records.endValue(false, 0, value))
+            .delete(Records.open(id));
+    if (value.path("job").has(HoldCodec.HOLDS)) {
+      txn.delete(Records.held(id)).delete(Records.release(id));
+    }
+    writes.force(txn.writes(), loop.now());
+    // Sent twice when an answer is late; one of the two that fails is read as what it found.
+    state.runRepeated(
+        txn,
+        () -> writes.force(txn.writes(), loop.now()),
+        (result, revision, failed) -> {
+          if (result == Result.OK) {
+            lookup.ended(id, false);
+            x.answer(200, JobLookup.status(id, false), false);
+          } else if (result == Result.NO && retries < MOST_RETRIES) {
+            cancel(x, id, retries + 1);
+          } else {
+            JobLookup.unreachable(x);
+          }
+        });
+  }
+}
--- a/src/main/java/org/mallowroad/api/OpenJobs.java
+++ b/src/main/java/org/mallowroad/api/OpenJobs.java
@@ -10,27 +10,51 @@
 import org.mallowroad.state.StateStore.Txn;
 
 /**
- * Open jobs that this node has seen, and whether they still are, many asked with one call.
+ * Answers whether jobs are open, many with one call.
  *
- * <p><b>Why an answer is never an old one.</b> An open record is never changed, only deleted, and
- * its key is never written again ({@code Records}): so a job is open exactly while its record has
- * the mark it was seen with. A transaction without writes compares up to four times {@code txn_ops}
- * such marks at one moment, which lies after each question that it answers was asked. The ones that
- * fail are over, and how they ended is read; the others are compared again, since only a
- * transaction of which all conditions hold says so of each. What is remembered here is a mark,
- * never an answer.
+ * <p><b>Why an answer is never stale.</b> A transaction without writes compares keys at one moment,
+ * which lies after each question that it answers was asked. A job's open record is never changed,
+ * only deleted, in the transaction that writes its end record, and neither key is ever written
+ * again ({@code Records}). So there are two comparisons:
+ *
+ * <ul>
+ *   <li>a job whose open record was read with its version is open if the version still holds; when
+ *       all conditions of a transaction hold, all of its jobs are open;
+ *   <li>of any other job both keys are compared with version 0, "does not exist": a condition that
+ *       is named as failed is a record that is there, and when all conditions hold there is none.
+ *       Of one that was seen open that way the open record alone is compared at first.
+ * </ul>
+ *
+ * <p>What is named as failed is taken as a fact; of what is not named nothing is concluded, since a
+ * service may name the first failure alone. Those jobs are compared again. What is remembered here
+ * is a version, never an answer.
  */
 final class OpenJobs {
-  /** Whether a job is open, by a comparison that was sent after the question. */
-  interface Asked {
-    /** {@code OK}: open now; {@code NO}: not with that mark; else the state service did not say. */
-    void asked(Result result, Entry job);
+  /** What a comparison that was sent after the question says of a job. */
+  enum Status {
+    /** It is open. */
+    OPEN,
+    /** It has an end record. */
+    OVER,
+    /** It has neither record. */
+    ABSENT,
+    /** The state service did not say. */
+    UNKNOWN
+  }
+
+  /** Takes the answer to a question. */
+  interface Listener {
+    /** With {@link Status#OPEN} the job, else null. */
+    void answered(Status status, Entry job);
   }
 
   /** A job that was seen open; its counts are for display and may be older. */
   static final class Entry {
     final String id;
+
+    /** Version of its open record, or 0 while only its existence was seen. */
     final long mark;
+
     int done;
     int running;
     long countedMs = Long.MIN_VALUE / 2;
@@ -41,47 +65,65 @@
     }
   }
 
-  private record Question(Entry job, Asked asked) {}
+  /** What a question compares. */
+  private enum Kind {
+    /** The open record with the version that it was read with. */
+    VERSION(1),
+    /** Whether the open record is there, as it was. */
+    OPEN_RECORD(1),
+    /** Whether the open or the end record is there. */
+    BOTH_RECORDS(2);
+
+    private final int conditions;
+
+    Kind(int conditions) {
+      this.conditions = conditions;
+    }
+  }
+
+  private record Question(String id, Kind kind, long mark, Listener listener) {
+    Question withBoth() {
+      return new Question(id, Kind.BOTH_RECORDS, 0, listener);
+    }
+  }
 
   /** Comparisons under way at once: with two, one is being answered while the next one fills. */
   private static final int MOST_OUT = 2;
 
+  /** A part of the time in which users expect the answer to a submission. */
+  private static final long PROMPT_MS = 100;
+
   /** Questions that wait; more are turned away, as users ask again. */
   private static final int MOST_WAITING = 1_000;
 
   private final StateStore state;
   private final Reads reads;
   private final int most;
-  private final int mostAtOnce;
+  private final int mostConditions;
   private final Object2ObjectLinkedOpenHashMap<String, Entry> jobs =
       new Object2ObjectLinkedOpenHashMap<>();
   private final ArrayDeque<Question> waiting = new ArrayDeque<>();
   private int out;
 
-  /** Remembers the newest {@code most} jobs and asks for {@code mostAtOnce} with one call. */
-  OpenJobs(StateStore state, Reads reads, int most, int mostAtOnce) {
+  /** Remembers the newest {@code most} jobs; a call has {@code mostConditions} at the most. */
+  OpenJobs(StateStore state, Reads reads, int most, int mostConditions) {
     this.state = state;
     this.reads = reads;
     this.most = most;
-    this.mostAtOnce = mostAtOnce;
+    this.mostConditions = mostConditions;
   }
 
-  /** The job was read or written as open with this mark. */
+  /** The job was read or written as open with this version. */
   Entry saw(String id, long mark) {
-    Entry e = jobs.getAndMoveToLast(id);
-    if (e == null || e.mark != mark) {
-      e = new Entry(id, mark);
-      jobs.putAndMoveToLast(id, e);
+    Entry entry = jobs.getAndMoveToLast(id);
+    if (entry == null || (mark != 0 && entry.mark != mark)) {
+      entry = new Entry(id, mark);
+      jobs.putAndMoveToLast(id, entry);
       if (jobs.size() > most) {
         jobs.removeFirst();
       }
     }
-    return e;
-  }
-
-  /** The job, if it was seen open. */
-  Entry get(String id) {
-    return jobs.get(id);
+    return entry;
   }
 
   /** The job is over. */
@@ -93,13 +135,26 @@
     return jobs.size();
   }
 
-  /** Asks whether the job is still open. */
-  void ask(Entry job, Asked asked) {
+  /** True when a question asked now is answered so soon that a submission may wait for it. */
+  boolean prompt() {
+    return waiting.size() < mostConditions / 2
+        && reads.delayMs() < PROMPT_MS
+        && !state.answersLate();
+  }
+
+  /** Asks whether a job is open, over or absent. */
+  void ask(String id, Listener listener) {
     if (waiting.size() >= MOST_WAITING) {
-      asked.asked(Result.NOT_DONE, job);
+      listener.answered(Status.UNKNOWN, null);
       return;
     }
-    waiting.add(new Question(job, asked));
+    Entry known = jobs.get(id);
+    if (known == null) {
+      waiting.add(new Question(id, Kind.BOTH_RECORDS, 0, listener));
+    } else {
+      Kind kind = known.mark == 0 ? Kind.OPEN_RECORD : Kind.VERSION;
+      waiting.add(new Question(id, kind, known.mark, listener));
+    }
     send();
   }
 
@@ -114,14 +169,26 @@
   private void turnAway() {
     out--;
     for (Question q : batch()) {
-      q.asked.asked(Result.NOT_DONE, q.job);
+      q.listener.answered(Status.UNKNOWN, null);
     }
     send();
   }
 
+  /**
+   * As many questions as one call has conditions for. Versions that are expected to hold go by
+   * themselves: with a condition among them that fails they would have to be compared again.
+   */
   private List<Question> batch() {
     List<Question> batch = new ArrayList<>();
-    while (batch.size() < mostAtOnce && !waiting.isEmpty()) {
+    if (waiting.isEmpty()) {
+      return batch;
+    }
+    boolean versions = waiting.peek().kind == Kind.VERSION;
+    int conditions = 0;
+    while (!waiting.isEmpty()
+        && (waiting.peek().kind == Kind.VERSION) == versions
+        && conditions + waiting.peek().kind.conditions <= mostConditions) {
+      conditions += waiting.peek().kind.conditions;
       batch.add(waiting.poll());
     }
     return batch;
@@ -135,23 +202,57 @@
       return;
     }
     Txn txn = new Txn();
-    batch.forEach(q -> txn.given(Records.open(q.job.id), q.job.mark));
-    state.run(
+    for (Question q : batch) {
+      txn.given(Records.open(q.id), q.mark);
+      if (q.kind == Kind.BOTH_RECORDS) {
+        txn.given(Records.end(q.id), 0);
+      }
+    }
+    state.runRepeated(
         txn,
+        () -> {},
         (result, revision, failed) -> {
           out--;
-          for (int i = batch.size() - 1; i >= 0; i--) {
-            Question q = batch.get(i);
-            if (result != Result.NO) {
-              q.asked.asked(result, q.job);
-            } else if (failed.isEmpty() || failed.contains(Records.open(q.job.id))) {
-              over(q.job.id);
-              q.asked.asked(Result.NO, q.job);
-            } else {
-              waiting.addFirst(q);
+          List<Question> again = new ArrayList<>();
+          for (Question q : batch) {
+            if (!answer(q, result, failed)) {
+              again.add(q.kind == Kind.VERSION ? q : q.withBoth());
             }
           }
+          for (int i = again.size() - 1; i >= 0; i--) {
+            waiting.addFirst(again.get(i));
+          }
           send();
         });
   }
+
+  /** Answers a question by what the comparison said; false when it said nothing of the job. */
+  private boolean answer(Question q, Result result, List<String> failed) {
+    if (result == Result.OK && q.kind != Kind.OPEN_RECORD) {
+      boolean open = q.kind == Kind.VERSION;
+      q.listener.answered(open ? Status.OPEN : Status.ABSENT, open ? saw(q.id, q.mark) : null);
+      return true;
+    }
+    if (result == Result.OK || (result == Result.NO && !failed.isEmpty())) {
+      return answerByName(q, failed);
+    }
+    q.listener.answered(Status.UNKNOWN, null);
+    return true;
+  }
+
+  private boolean answerByName(Question q, List<String> failed) {
+    boolean openNamed = failed.contains(Records.open(q.id));
+    if (q.kind == Kind.VERSION && openNamed) {
+      over(q.id);
+      q.listener.answered(Status.OVER, null);
+    } else if (failed.contains(Records.end(q.id))) {
+      over(q.id);
+      q.listener.answered(Status.OVER, null);
+    } else if (q.kind != Kind.VERSION && openNamed) {
+      q.listener.answered(Status.OPEN, saw(q.id, 0));
+    } else {
+      return false;
+    }
+    return true;
+  }
 }
--- a/src/main/java/org/mallowroad/api/Reads.java
+++ b/src/main/java/org/mallowroad/api/Reads.java
@@ -42,6 +42,15 @@
     }
   }
 
+  /** How long a call that is asked for now waits for its turn. */
+  long delayMs() {
+    double calls = 1 - budget.ready(loop.now());
+    for (Ask a : waiting) {
+      calls += a.calls;
+    }
+    return calls <= 0 ? 0 : Math.round(1000 * calls / budget.perSecond());
+  }
+
   /** Takes a call for what is merely nice to know: only while half of them are unused. */
   boolean spare(double burst) {
     long now = loop.now();
--- /dev/null
+++ b/src/main/java/org/mallowroad/api/Submissions.java
@@ -0,0 +1,222 @@
+package org.mallowroad.api;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.fold.Game;
+import org.mallowroad.core.hold.Ties;
+import org.mallowroad.net.Budget;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
+import org.mallowroad.wire.FoldCodec;
+import org.mallowroad.wire.JobCodec;
+import org.mallowroad.wire.Json;
+
+/** Takes submissions: judges them, and records the job before its user is told. */
+final class Submissions {
+  /** After a refusal for its limits the service counts as crowded for so long. */
+  private static final long CROWDED_MS = 10_000;
+
+  /** A submission that the state service refused for its limits is sent again after so long. */
+  private static final long RETRY_MS = 120;
+
+  private static final int MOST_RETRIES = 4;
+
+  /** Submissions that wait to be sent again; more are turned away at once. */
+  private static final int MOST_WAITING = 64;
+
+  /** A value may be as long as the limit less what surrounds it. */
+  private static final int ENVELOPE_BYTES = 64;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final JobLookup lookup;
+  private final Folding folding;
+  private final UserApi.Jobs jobs;
+  private final Budget writes;
+  private final Budget fairWrites;
+  private final double valueKb;
+  private int waiting;
+
+  Submissions(
+      Loop loop,
+      StateStore state,
+      JobLookup lookup,
+      Folding folding,
+      UserApi.Jobs jobs,
+      Budget writes,
+      Budget fairWrites,
+      double valueKb) {
+    this.loop = loop;
+    this.state = state;
+    this.lookup = lookup;
+    this.folding = folding;
+    this.jobs = jobs;
+    this.writes = writes;
+    this.fairWrites = fairWrites;
+    this.valueKb = valueKb;
+  }
+
+  /** A submission that is well formed, and its open record. */
+  private record Parsed(JobSpec spec, List<Game> games, ObjectNode value) {}
+
+  /** POST /v1/jobs. */
+  void submit(Answerer x, byte[] body) {
+    ObjectNode o = null;
+    Parsed parsed;
+    try {
+      o = Json.parseObject(body);
+      parsed = parse(o);
+    } catch (BadMessage e) {
+      malformed(x, o, e.getMessage());
+      return;
+    }
+    String id = parsed.spec.id();
+    if (lookup.fate(id) != null) {
+      lookup.answer(x, id, () -> JobLookup.unreachable(x));
+      return;
+    }
+    if (!jobs.ready()) {
+      x.answer(503, Reply.reason("machine types not known yet"), true);
+      return;
+    }
+    String hopeless = jobs.hopeless(parsed.spec);
+    if (hopeless != null) {
+      // What was accepted stays accepted, whatever types and limits say today.
+      lookup.answer(x, id, () -> x.answer(422, Reply.reason(hopeless), false));
+      return;
+    }
+    if (parsed.spec.ties() == Ties.NONE && lookup.prompt()) {
+      // A repeated submission costs a write of the service's budget even when it fails, and this
+      // question none; where questions wait long it is not asked, since the submission would too.
+      Runnable record = () -> record(x, parsed);
+      lookup.answer(x, id, record, record);
+    } else {
+      record(x, parsed);
+    }
+  }
+
+  private Parsed parse(ObjectNode o) throws BadMessage {
+    JobSpec spec = jobs.check(o);
+    List<Game> games = FoldCodec.games(o);
+    if (spec.ties().folds().size() > Folding.MOST_LEAGUES) {
+      throw new BadMessage("folds: at most " + Folding.MOST_LEAGUES + " leagues");
+    }
+    ObjectNode value = Records.openValue(o, loop.wallMs());
+    if (!games.isEmpty()) {
+      ((ObjectNode) value.get("job")).set(FoldCodec.BLOCKS, FoldCodec.blocks(Folding.keys(games)));
+    }
+    if (Json.bytes(value).length > valueKb * 1024 - ENVELOPE_BYTES) {
+      throw new BadMessage("the submission is too large");
+    }
+    return new Parsed(spec, games, value);
+  }
+
+  /**
+   * What was accepted under this id stays accepted, whatever is sent of it later. While the state
+   * service does not say whether it was, 503 is the answer: a 400 to an accepted job would call it
+   * forgotten.
+   */
+  private void malformed(Answerer x, ObjectNode o, String reason) {
+    Runnable refuse = () -> x.answer(400, Reply.reason(reason), false);
+    String id = o == null ? "" : o.path(Fields.ID).asText();
+    if (JobCodec.ID.matcher(id).matches()) {
+      lookup.answer(x, id, refuse);
+    } else {
+      refuse.run();
+    }
+  }
+
+  private void record(Answerer x, Parsed parsed) {
+    if (!mayWrite()) {
+      x.answer(429, Reply.reason("too many submissions"), true);
+      return;
+    }
+    if (parsed.spec.ties() == Ties.NONE) {
+      accept(x, parsed.spec.id(), parsed.value, 0);
+    } else {
+      acceptTied(x, parsed);
+    }
+  }
+
+  /** What folds games or waits for something; whatever is said of it, an accepted job is known. */
+  private void acceptTied(Answerer x, Parsed parsed) {
+    String id = parsed.spec.id();
+    folding.accept(
+        id,
+        parsed.value,
+        parsed.games,
+        parsed.spec.ties(),
+        (end, reason) -> {
+          switch (end) {
+            case ACCEPTED -> x.answer(201, queued(id), false);
+            case KNOWN -> lookup.answer(x, id, () -> tryAgain(x));
+            case REFUSED -> lookup.answer(x, id, () -> x.answer(422, Reply.reason(reason), false));
+            default -> lookup.answer(x, id, () -> x.answer(503, Reply.reason(reason), true));
+          }
+        });
+  }
+
+  private static void tryAgain(Answerer x) {
+    x.answer(503, Reply.reason("try again"), true);
+  }
+
+  private static ObjectNode queued(String id) {
+    ObjectNode o = Json.object();
+    o.put(Fields.ID, id);
+    o.put(Fields.STATE, Fields.QUEUED);
+    return o;
+  }
+
+  private void accept(Answerer x, String id, ObjectNode value, int retries) {
+    long sentMs = loop.now();
+    Txn txn =
+        new Txn().given(Records.open(id), 0).given(Records.end(id), 0).put(Records.open(id), value);
+    // Sent twice when an answer is late: whichever is carried out first makes the other fail, and
+    // the job that is found then is this one.
+    state.runRepeated(
+        txn,
+        () -> writes.force(1, loop.now()),
+        (result, revision, failed) -> {
+          if (result == Result.NOT_DONE
+              && state.crowdedMs() >= sentMs
+              && retries < MOST_RETRIES
+              && waiting < MOST_WAITING) {
+            // Refused for the service's limits: a moment later there is room, and a user who is
+            // turned away comes back no sooner than after a second.
+            waiting++;
+            loop.after(
+                RETRY_MS,
+                () -> {
+                  waiting--;
+                  accept(x, id, value, retries + 1);
+                });
+            return;
+          }
+          switch (result) {
+            case OK -> {
+              lookup.opened(id, revision);
+              x.answer(201, queued(id), false);
+            }
+            case NO -> lookup.answer(x, id, () -> tryAgain(x));
+            default -> JobLookup.unreachable(x);
+          }
+        });
+  }
+
+  /**
+   * After all nodes have been away, one node gets all submissions: they must not wait for its part
+   * of the service's writes while the other nodes use nothing. So each may use what the leader
+   * leaves, and keeps to its part for a while once the service has refused a call for its limits.
+   */
+  private boolean mayWrite() {
+    long now = loop.now();
+    boolean crowded = now - state.crowdedMs() < CROWDED_MS;
+    return (crowded ? fairWrites : writes).take(1, now);
+  }
+}
--- a/src/main/java/org/mallowroad/config/OperatorSettings.java
+++ b/src/main/java/org/mallowroad/config/OperatorSettings.java
@@ -23,7 +23,8 @@
     HealthPolicy health,
     Optional<ConsoleSettings> console,
     Optional<LinkPolicy> links,
-    FetchPolicy fetches) {
+    FetchPolicy fetches,
+    RecordPolicy records) {
 
   /** What holds without a file. */
   public static OperatorSettings defaults() {
@@ -32,17 +33,18 @@
         HealthPolicy.defaults(),
         Optional.empty(),
         Optional.empty(),
-        FetchPolicy.defaults());
+        FetchPolicy.defaults(),
+        RecordPolicy.defaults());
   }
 
   /** The same with a console. */
   public OperatorSettings with(ConsoleSettings c) {
-    return new OperatorSettings(fleet, health, Optional.of(c), links, fetches);
+    return new OperatorSettings(fleet, health, Optional.of(c), links, fetches, records);
   }
 
   /** The same with ways round cuts. */
   public OperatorSettings with(LinkPolicy l) {
-    return new OperatorSettings(fleet, health, console, Optional.of(l), fetches);
+    return new OperatorSettings(fleet, health, console, Optional.of(l), fetches, records);
   }
 
   /**
@@ -69,7 +71,19 @@
         health(file, root),
         console(file, root),
         links(file, root),
-        fetches(file, root));
+        fetches(file, root),
+        records(file, root));
+  }
+
+  private static RecordPolicy records(String file, Element root) throws BadSettings {
+    if (!(root.getElementsByTagName("records").item(0) instanceof Element e)) {
+      return RecordPolicy.defaults();
+    }
+    String shared = e.getAttribute("share-starts");
+    if (!shared.equals("true") && !shared.equals("false")) {
+      throw new BadSettings(file, "records/share-starts", "true or false is needed");
+    }
+    return new RecordPolicy(shared.equals("true"));
   }
 
   private static FleetPolicy fleet(String file, Element root) throws BadSettings {
@@ -157,7 +171,12 @@
 
   /** The same with limits on fetches. */
   public OperatorSettings with(FetchPolicy f) {
-    return new OperatorSettings(fleet, health, console, links, f);
+    return new OperatorSettings(fleet, health, console, links, f, records);
+  }
+
+  /** The same with another form of records. */
+  public OperatorSettings with(RecordPolicy r) {
+    return new OperatorSettings(fleet, health, console, links, fetches, r);
   }
 
   private static long ms(
--- a/src/main/java/org/mallowroad/controller/CancellationDuties.java
+++ b/src/main/java/org/mallowroad/controller/CancellationDuties.java
@@ -18,9 +18,9 @@
   /** What was not taken is told again so much later. */
   private static final long AGAIN_MS = 500;
 
-  /** A controller remembers an end as a fact, and says whether it was news. */
-  interface Ends {
-    boolean ended(String id, boolean done);
+  /** Takes the end of a job as a fact. */
+  interface EndListener {
+    void ended(String id, boolean done);
   }
 
   private final Loop loop;
@@ -49,7 +49,7 @@
   }
 
   /** A peer's word. */
-  void heard(List<String> jobs, Ends ends) {
+  void heard(List<String> jobs, EndListener ends) {
     hearing = true;
     try {
       jobs.forEach(id -> ends.ended(id, false));
--- /dev/null
+++ b/src/main/java/org/mallowroad/controller/CommitDraft.java
@@ -0,0 +1,339 @@
+package org.mallowroad.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2LongMap;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayList;
+import java.util.List;
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+import org.mallowroad.core.Names;
+import org.mallowroad.core.SharedRecord;
+import org.mallowroad.election.Election;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.Json;
+
+/**
+ * A transaction of the leader while it is filled from what the ledger has to record. It never holds
+ * more writes, conditions or bytes than the limits it is made with.
+ */
+final class CommitDraft {
+  private static final int MAX_BYTES = 48 * 1024;
+
+  /** Ends of idle jobs give way to starts for so long: hundreds may come within a minute. */
+  private static final long IDLE_END_MS = 12_000;
+
+  /** Bytes of a key with its condition, and of an end record with its keys. */
+  private static final int KEY_BYTES = 200;
+
+  private static final int END_BYTES = 400;
+
+  /** Conditions that a chunk of a held job may add besides its own. */
+  private static final int GUARD_CONDITIONS = 8;
+
+  /** A chunk as the transaction carries it. */
+  record WrittenChunk(
+      Chunk chunk, long changes, boolean deleted, List<Attempt> recorded, JsonNode value) {}
+
+  /** A shared record as the transaction carries it; without a value it is deleted. */
+  record WrittenShared(SharedRecord record, JsonNode value, List<WrittenChunk> chunks) {}
+
+  /** Adds to the transaction what a held job's start needs. */
+  interface Guard {
+    void guard(Job job, Txn txn);
+  }
+
+  private final Ledger ledger;
+  private final Names zones;
+  private final Guard guard;
+  private final long now;
+  private final int mostWrites;
+  private final int mostConditions;
+  private final Txn txn;
+  private final List<WrittenChunk> chunks = new ArrayList<>();
+  private final List<WrittenShared> shared = new ArrayList<>();
+  private final ObjectLinkedOpenHashSet<SharedRecord> sharedRecords =
+      new ObjectLinkedOpenHashSet<>();
+  private final List<WrittenChunk> sharedChunks = new ArrayList<>();
+  private final ObjectOpenHashSet<Chunk> seen = new ObjectOpenHashSet<>();
+  private final List<Job> ends = new ArrayList<>();
+  private final List<String> deleted = new ArrayList<>();
+  private final ObjectOpenHashSet<Job> guarded = new ObjectOpenHashSet<>();
+  private int bytes;
+
+  CommitDraft(
+      Ledger ledger,
+      Names zones,
+      Guard guard,
+      long leaderMark,
+      int mostWrites,
+      int mostConditions,
+      long now) {
+    this.ledger = ledger;
+    this.zones = zones;
+    this.guard = guard;
+    this.now = now;
+    this.mostWrites = mostWrites;
+    this.mostConditions = mostConditions;
+    this.txn = new Txn().given(Election.LEADER, leaderMark);
+  }
+
+  /** The transaction, once {@link #finish} was called. */
+  Txn txn() {
+    return txn;
+  }
+
+  /** Chunks with records of their own. */
+  List<WrittenChunk> chunks() {
+    return chunks;
+  }
+
+  /** Shared records. */
+  List<WrittenShared> shared() {
+    return shared;
+  }
+
+  /** Jobs whose ends it carries. */
+  List<Job> ends() {
+    return ends;
+  }
+
+  /** Keys of jobs that are over, deleted without more ado. */
+  List<String> deleted() {
+    return deleted;
+  }
+
+  /** Held jobs whose conditions it carries. */
+  ObjectOpenHashSet<Job> guarded() {
+    return guarded;
+  }
+
+  /** Puts and deletes. */
+  int writes() {
+    return txn.writes() + (shared.isEmpty() ? sharedRecords.size() : 0);
+  }
+
+  /** True when nothing was to be recorded. */
+  boolean empty() {
+    return chunks.isEmpty()
+        && sharedChunks.isEmpty()
+        && sharedRecords.isEmpty()
+        && ends.isEmpty()
+        && deleted.isEmpty();
+  }
+
+  private boolean full(int more) {
+    return writes() + more > mostWrites || bytes > MAX_BYTES;
+  }
+
+  private boolean hasConditions(int more) {
+    return txn.conditions() + sharedRecords.size() + more <= mostConditions;
+  }
+
+  /** Ends that are older than {@code ms}. */
+  void addEnds(long ms) {
+    for (Job job : ledger.ending()) {
+      if (full(job.spec.ties().held() ? 4 : 2) || !hasConditions(2)) {
+        return;
+      }
+      long least = ms > 0 && job.spec.priority() >= JobSpec.IDLE ? IDLE_END_MS : ms;
+      if (!ends.contains(job) && now - job.allDoneMs() >= least) {
+        addEnd(job);
+      }
+    }
+  }
+
+  private void addEnd(Job job) {
+    String id = job.spec.id();
+    txn.given(Records.open(id), job.mark).given(Records.end(id), 0);
+    txn.put(Records.end(id), Records.endValue(true, job.spec.tasks(), null));
+    txn.delete(Records.open(id));
+    if (job.spec.ties().held()) {
+      txn.delete(Records.held(id)).delete(Records.release(id));
+    }
+    ends.add(job);
+    bytes += END_BYTES;
+    for (int i = 0; i < job.chunkCount() && !full(1) && hasConditions(1); i++) {
+      Chunk c = job.chunk(i);
+      if (c.mark > 0 && seen.add(c)) {
+        delete(c);
+      }
+    }
+  }
+
+  private void delete(Chunk c) {
+    txn.given(Records.run(c), c.mark).delete(Records.run(c));
+    chunks.add(new WrittenChunk(c, c.changes, true, List.of(), null));
+    bytes += KEY_BYTES;
+  }
+
+  /**
+   * Starts, which somebody waits for, those of idle jobs after the others: hundreds of them may be
+   * placed in a second, and in one line with them urgent work waited for its records for 8 s. A
+   * quarter is theirs even so, or they would not be served at all while there is other work.
+   */
+  void addUrgent() {
+    int idle = 0;
+    for (Chunk c : ledger.urgent()) {
+      idle += idle(c) ? 1 : 0;
+    }
+    addUrgent(false, Math.min(idle, mostWrites / 4));
+    addUrgent(true, 0);
+    addUrgent(false, 0);
+  }
+
+  private void addUrgent(boolean idle, int left) {
+    for (Chunk c : ledger.urgent()) {
+      if (full(1 + left)) {
+        return;
+      }
+      if (idle(c) == idle) {
+        add(c);
+      }
+    }
+  }
+
+  private static boolean idle(Chunk c) {
+    return c.job.spec.priority() >= JobSpec.IDLE;
+  }
+
+  /** What changed at least {@code ms} ago, and leftovers, as far as {@code spare} writes go. */
+  void addLazy(long ms, int spare, Object2LongLinkedOpenHashMap<String> leftovers) {
+    int most = writes() + spare;
+    for (Chunk c : ledger.dirty()) {
+      if (full(1) || writes() >= most) {
+        return;
+      }
+      if (now - c.dirtySinceMs >= ms || (c.job.finished() && c.mark == 0)) {
+        add(c);
+      }
+    }
+    for (SharedRecord r : ledger.sharedRecords().all()) {
+      if (full(1) || writes() >= most) {
+        return;
+      }
+      if (r.toWrite()) {
+        includeShared(r);
+      }
+    }
+    for (Object2LongMap.Entry<String> e : leftovers.object2LongEntrySet()) {
+      if (full(1) || writes() >= most || !hasConditions(1)) {
+        return;
+      }
+      txn.given(e.getKey(), e.getLongValue()).delete(e.getKey());
+      deleted.add(e.getKey());
+      bytes += KEY_BYTES;
+    }
+  }
+
+  private void add(Chunk c) {
+    if (ledger.ending().contains(c.job) || seen.contains(c)) {
+      return;
+    }
+    if (c.finished()) {
+      addFinished(c);
+    } else if (ledger.sharedRecords().shares(c)) {
+      includeShared(c.shared);
+    } else if (hasConditions(2 + GUARD_CONDITIONS)) {
+      addOwn(c);
+    }
+  }
+
+  private void addFinished(Chunk c) {
+    if (!hasConditions(1)) {
+      return;
+    }
+    seen.add(c);
+    if (c.mark > 0) {
+      delete(c);
+    } else {
+      chunks.add(new WrittenChunk(c, c.changes, true, List.of(), null));
+    }
+  }
+
+  private void addOwn(Chunk c) {
+    List<Attempt> recorded = recording(c);
+    if (!recorded.isEmpty() && c.job.spec.ties().held() && !guarded.contains(c.job)) {
+      if (full(2)) {
+        return; // Its release changes with the first start: the next transaction has room.
+      }
+      guard.guard(c.job, txn);
+      guarded.add(c.job);
+    }
+    seen.add(c);
+    if (!c.job.withdrawn() && !c.job.ended()) {
+      // The job must still be open when a start is recorded.
+      txn.given(Records.open(c.job.spec.id()), c.job.mark);
+    }
+    ObjectNode value = Records.runValue(c, zones);
+    txn.given(Records.run(c), c.mark).put(Records.run(c), value);
+    chunks.add(new WrittenChunk(c, c.changes, false, recorded, value));
+    bytes += Json.text(value).length() + KEY_BYTES;
+  }
+
+  private static List<Attempt> recording(Chunk c) {
+    List<Attempt> recording = new ArrayList<>();
+    for (int t = c.from(); t < c.to(); t++) {
+      Attempt a = c.job.live(t);
+      if (a != null && a.phase == Attempt.Phase.RECORDING) {
+        recording.add(a);
+      }
+    }
+    return recording;
+  }
+
+  /**
+   * The record is written as a whole, so each of its members is: one whose start is to be recorded
+   * with its job's open record as a condition.
+   */
+  private void includeShared(SharedRecord r) {
+    int unseen = 0;
+    for (Chunk c : r.members()) {
+      unseen += seen.contains(c) ? 0 : 1;
+    }
+    if (!hasConditions(unseen + 1) || (!sharedRecords.contains(r) && full(1))) {
+      return;
+    }
+    sharedRecords.add(r);
+    for (Chunk c : r.members()) {
+      if (!seen.add(c)) {
+        continue;
+      }
+      List<Attempt> recorded = recording(c);
+      if (!recorded.isEmpty()) {
+        txn.given(Records.open(c.job.spec.id()), c.job.mark);
+      }
+      bytes += KEY_BYTES;
+      if (!ledger.ending().contains(c.job)) {
+        sharedChunks.add(new WrittenChunk(c, c.changes, c.finished(), recorded, null));
+      }
+    }
+  }
+
+  /** Builds the values of shared records: nothing can be added from then on. */
+  void finish() {
+    for (SharedRecord r : sharedRecords) {
+      List<Chunk> left = r.members().stream().filter(c -> !c.finished()).toList();
+      List<WrittenChunk> written =
+          sharedChunks.stream().filter(w -> w.chunk().shared == r).toList();
+      txn.given(Records.starts(r), r.mark);
+      if (!left.isEmpty()) {
+        JsonNode value = Records.sharedValue(left, zones);
+        txn.put(Records.starts(r), value);
+        shared.add(new WrittenShared(r, value, written));
+      } else {
+        if (r.mark > 0) {
+          txn.delete(Records.starts(r));
+        }
+        shared.add(new WrittenShared(r, null, written));
+      }
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -1,16 +1,14 @@
 package org.mallowroad.controller;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.JsonNode;
 import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
-import it.unimi.dsi.fastutil.objects.Object2LongMap;
-import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.mallowroad.core.Attempt;
-import org.mallowroad.core.Chunk;
+import java.util.function.Predicate;
+import org.mallowroad.controller.CommitDraft.WrittenChunk;
+import org.mallowroad.controller.CommitDraft.WrittenShared;
 import org.mallowroad.core.Job;
-import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Names;
 import org.mallowroad.election.Election;
@@ -18,8 +16,10 @@
 import org.mallowroad.net.Loop;
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Item;
 import org.mallowroad.state.StateStore.Result;
 import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Json;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,18 +33,25 @@
  */
 final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
-  private static final int MAX_BYTES = 48 * 1024;
 
   /** An end is told within 3 s, so it may give way to starts for a while. */
   private static final long END_MS = 800;
 
-  /** Ends of idle jobs give way to starts for longer: hundreds may come within a minute. */
-  private static final long IDLE_END_MS = 12_000;
+  /** A transaction may have four times as many conditions as writes (PROTOCOL). */
+  private static final int CONDITIONS_A_WRITE = 4;
 
-  /** Exits wait for company; for longer when many records have some. */
+  private static final long RETRY_MS = 300;
+  private static final long RETRY_UNKNOWN_MS = 50;
+
+  /** Exits wait for company. */
   private static final long LAZY_MS = 400;
 
-  private static final long CROWDED_LAZY_MS = 2_500;
+  /**
+   * Where many records have some they wait for longer, so that no more than this part is theirs.
+   */
+  private static final double LAZY_SHARE = 0.2;
+
+  private static final long MOST_LAZY_MS = 6_000;
 
   /** A transaction waits for this many tokens rather than go out small. */
   private static final int LEAST_WRITES = 4;
@@ -142,7 +149,9 @@
     }
     if (!ledger.urgent().isEmpty() || !ledger.ending().isEmpty()) {
       send();
-    } else if (!ledger.dirty().isEmpty() || !leftovers.isEmpty()) {
+    } else if (!ledger.dirty().isEmpty()
+        || !leftovers.isEmpty()
+        || ledger.sharedRecords().anyToWrite()) {
       later(LAZY_MS);
     }
   }
@@ -164,181 +173,28 @@
     leftovers.put(key, at);
   }
 
-  /** One chunk as a transaction carries it. */
-  private record Written(Chunk chunk, long changes, boolean deleted, List<Attempt> recorded) {}
-
-  /** A transaction being filled. */
-  private final class Draft {
-    private final Txn txn = new Txn().given(Election.LEADER, mark);
-    private final List<Written> written = new ArrayList<>();
-    private final ObjectOpenHashSet<Chunk> chunks = new ObjectOpenHashSet<>();
-    private final List<Job> ends = new ArrayList<>();
-    private final List<String> deleted = new ArrayList<>();
-    private final ObjectOpenHashSet<Job> guarded = new ObjectOpenHashSet<>();
-    private final int most;
-    private int bytes;
-
-    Draft(int most) {
-      this.most = most;
-    }
-
-    boolean full(int more) {
-      return txn.writes() + more > most || bytes > MAX_BYTES;
-    }
-
-    /** Ends that are older than {@code ms}. */
-    void addEnds(long ms) {
-      for (Job job : ledger.ending()) {
-        if (full(job.spec.ties().held() ? 4 : 2)) {
-          return;
-        }
-        long least = ms > 0 && job.spec.priority() >= JobSpec.IDLE ? IDLE_END_MS : ms;
-        if (ends.contains(job) || loop.now() - job.allDoneMs() < least) {
-          continue;
-        }
-        String id = job.spec.id();
-        txn.given(Records.open(id), job.mark).given(Records.end(id), 0);
-        txn.put(Records.end(id), Records.endValue(true, job.spec.tasks(), null));
-        txn.delete(Records.open(id));
-        if (job.spec.ties().held()) {
-          txn.delete(Records.held(id)).delete(Records.release(id));
-        }
-        ends.add(job);
-        bytes += 400;
-        for (int i = 0; i < job.chunkCount() && !full(1); i++) {
-          Chunk c = job.chunk(i);
-          if (c.mark > 0 && chunks.add(c)) {
-            txn.given(Records.run(c), c.mark).delete(Records.run(c));
-            written.add(new Written(c, c.changes, true, List.of()));
-            bytes += 200;
-          }
-        }
-      }
-    }
-
-    /**
-     * Starts, which somebody waits for, those of idle jobs after the others: hundreds of them may
-     * be placed in a second, and in one line with them urgent work waited for its records for 8 s.
-     * A quarter is theirs even so, or they would not be served at all while there is other work.
-     */
-    void addUrgent() {
-      int idle = 0;
-      for (Chunk c : ledger.urgent()) {
-        idle += idle(c) ? 1 : 0;
-      }
-      addUrgent(false, Math.min(idle, most / 4));
-      addUrgent(true, 0);
-      addUrgent(false, 0);
-    }
-
-    private void addUrgent(boolean idle, int left) {
-      for (Chunk c : ledger.urgent()) {
-        if (full(1 + left)) {
-          return;
-        }
-        if (idle(c) == idle) {
-          add(c);
-        }
-      }
-    }
-
-    private static JobSpec job(Chunk c) {
-      return c.job.spec;
-    }
-
-    private static boolean idle(Chunk c) {
-      return c.job.spec.priority() >= JobSpec.IDLE;
-    }
-
-    /** What changed at least {@code ms} ago, as far as {@code spare} writes go. */
-    void addLazy(long ms, int spare) {
-      int most = txn.writes() + spare;
-      for (Chunk c : ledger.dirty()) {
-        if (full(1) || txn.writes() >= most) {
-          return;
-        }
-        if (loop.now() - c.dirtySinceMs >= ms || (c.job.finished() && c.mark == 0)) {
-          add(c);
-        }
-      }
-      for (Object2LongMap.Entry<String> e : leftovers.object2LongEntrySet()) {
-        if (full(1) || txn.writes() >= most) {
-          return;
-        }
-        txn.given(e.getKey(), e.getLongValue()).delete(e.getKey());
-        deleted.add(e.getKey());
-        bytes += 200;
-      }
-    }
-
-    private void add(Chunk c) {
-      if (ledger.ending().contains(c.job) || !chunks.add(c)) {
-        return;
-      }
-      boolean over = c.job.withdrawn() || c.job.ended();
-      if (over && !c.hasLive()) {
-        if (c.mark > 0) {
-          txn.given(Records.run(c), c.mark).delete(Records.run(c));
-        }
-        written.add(new Written(c, c.changes, true, List.of()));
-        bytes += 100;
-        return;
-      }
-      List<Attempt> recorded = new ArrayList<>();
-      for (int t = c.from(); t < c.to(); t++) {
-        Attempt a = c.job.live(t);
-        if (a != null && a.phase == Attempt.Phase.RECORDING) {
-          recorded.add(a);
-        }
-      }
-      if (!recorded.isEmpty() && job(c).ties().held() && !guarded.contains(c.job)) {
-        if (full(2)) {
-          chunks.remove(c);
-          return; // Its release changes with the first start: the next transaction has room.
-        }
-        events.guard(c.job, txn);
-        guarded.add(c.job);
-      }
-      if (!over) {
-        // The job must still be open when a start is recorded.
-        txn.given(Records.open(c.job.spec.id()), c.job.mark);
-      }
-      ObjectNode value = Records.runValue(c, zones);
-      txn.given(Records.run(c), c.mark).put(Records.run(c), value);
-      written.add(new Written(c, c.changes, false, recorded));
-      bytes += Json.text(value).length() + 200;
-    }
-  }
-
   private void send() {
     if (busy || stopped) {
       return;
     }
     long now = loop.now();
-    double ready = writes.ready(now);
-    int least = Math.min(LEAST_WRITES, maxOps);
-    // As large as the budget allows now: what waits for more tokens would hold up what need not.
-    Draft d = new Draft((int) Math.max(least, Math.min(maxOps, ready)));
-    d.addEnds(END_MS);
-    d.addUrgent();
-    d.addEnds(0);
-    boolean crowded = ledger.dirty().size() > maxOps;
-    boolean idle = ledger.urgent().isEmpty() && ledger.ending().isEmpty();
-    // Exits leave half of the bucket to the starts to come.
-    int spare = idle ? Math.max(least, (int) (ready - maxOps / 2.0)) : (int) (ready - maxOps / 2.0);
-    d.addLazy(crowded ? CROWDED_LAZY_MS : LAZY_MS, Math.max(0, spare - d.txn.writes()));
-    if (d.written.isEmpty() && d.ends.isEmpty() && d.deleted.isEmpty()) {
-      if (!ledger.dirty().isEmpty() || !leftovers.isEmpty()) {
+    CommitDraft draft = fill(now);
+    if (draft.empty()) {
+      if (!ledger.dirty().isEmpty()
+          || !leftovers.isEmpty()
+          || ledger.sharedRecords().anyToWrite()) {
         later(LAZY_MS);
       }
       return;
     }
-    if (d.txn.writes() == 0) {
-      applied(d, 0);
+    draft.finish();
+    int size = draft.txn().writes();
+    if (size == 0) {
+      applied(draft, 0);
       kick();
       return;
     }
-    long wait = writes.waitMs(d.txn.writes(), now);
+    long wait = writes.waitMs(size, now);
     if (wait > 0) {
       busy = true;
       loop.after(
@@ -349,53 +205,99 @@
           });
       return;
     }
-    writes.force(d.txn.writes(), now);
+    writes.force(size, now);
     commits++;
-    written += d.txn.writes();
+    written += size;
     busy = true;
-    state.run(
-        d.txn,
-        (result, revision, failed) -> {
-          if (stopped) {
-            return;
-          }
-          switch (result) {
-            case OK -> {
+    state.runRepeated(
+        draft.txn(),
+        () -> {
+          writes.force(size, loop.now());
+          written += size;
+        },
+        (result, revision, failed) -> outcome(draft, result, revision, failed));
+  }
+
+  /** As large as the budget allows now: what waits for tokens would hold up what need not. */
+  private CommitDraft fill(long now) {
+    double ready = writes.ready(now);
+    int least = Math.min(LEAST_WRITES, maxOps);
+    int most = (int) Math.max(least, Math.min(maxOps, ready));
+    CommitDraft draft =
+        new CommitDraft(ledger, zones, events::guard, mark, most, CONDITIONS_A_WRITE * maxOps, now);
+    draft.addEnds(END_MS);
+    draft.addUrgent();
+    draft.addEnds(0);
+    boolean idle = ledger.urgent().isEmpty() && ledger.ending().isEmpty();
+    // Exits leave half of the bucket to the starts to come.
+    int half = (int) (ready - maxOps / 2.0);
+    int spare = idle ? Math.max(least, half) : half;
+    draft.addLazy(lazyMs(), Math.max(0, spare - draft.writes()), leftovers);
+    return draft;
+  }
+
+  /**
+   * How long an exit waits to be recorded. Nobody waits for it: the job's end is recorded apart,
+   * and a leader that follows hears of it from the worker. Each record that has one is written once
+   * in that time, whatever number of tasks end in it meanwhile.
+   */
+  private long lazyMs() {
+    double perSecond = LAZY_SHARE * writes.perSecond();
+    long ms = (long) (1000 * ledger.dirty().size() / perSecond);
+    return Math.max(LAZY_MS, Math.min(MOST_LAZY_MS, ms));
+  }
+
+  private void outcome(CommitDraft draft, Result result, long revision, List<String> failed) {
+    if (stopped) {
+      return;
+    }
+    switch (result) {
+      case OK -> {
+        busy = false;
+        applied(draft, revision);
+        wake();
+        events.committed();
+        kick();
+      }
+      case NO -> settle(draft, failed);
+      default -> {
+        LOG.warn("event=commit_failed result={}", result);
+        loop.after(
+            result == Result.UNKNOWN ? RETRY_UNKNOWN_MS : RETRY_MS,
+            () -> {
               busy = false;
-              applied(d, revision);
-              wake();
-              events.committed();
-              kick();
-            }
-            case NO -> settle(d, failed);
-            default -> {
-              LOG.warn("event=commit_failed result={}", result);
-              loop.after(
-                  result == Result.UNKNOWN ? 50 : 300,
-                  () -> {
-                    busy = false;
-                    send();
-                  });
-            }
-          }
-        });
+              send();
+            });
+      }
+    }
   }
 
-  private void applied(Draft d, long revision) {
-    long now = loop.now();
-    for (Written w : d.written) {
-      ledger.committed(w.chunk, w.deleted ? 0 : revision, w.changes, w.recorded, now);
+  private void applied(CommitDraft draft, long revision) {
+    for (WrittenChunk w : draft.chunks()) {
+      committed(w, w.deleted() ? 0 : revision);
     }
-    d.deleted.forEach(leftovers::removeLong);
-    d.guarded.forEach(j -> events.guarded(j, revision));
-    for (Job j : d.ends) {
-      ledger.ended(j);
+    for (WrittenShared r : draft.shared()) {
+      committed(r, revision);
+    }
+    draft.deleted().forEach(leftovers::removeLong);
+    draft.guarded().forEach(j -> events.guarded(j, revision));
+    for (Job j : draft.ends()) {
+      ledger.ended(j, loop.now());
       events.ended(j, true);
       tidy(j);
     }
-    for (Written w : d.written) {
-      tidy(w.chunk.job);
-    }
+    draft.chunks().forEach(w -> tidy(w.chunk().job));
+    draft.shared().forEach(r -> r.chunks().forEach(w -> tidy(w.chunk().job)));
+  }
+
+  private void committed(WrittenChunk w, long revision) {
+    ledger.committed(w.chunk(), revision, w.changes(), w.recorded(), loop.now());
+  }
+
+  private void committed(WrittenShared r, long revision) {
+    // A member has no record of its own, and so no version.
+    r.chunks().forEach(w -> committed(w, 0));
+    ledger.sharedRecords().written(r.record(), r.value() == null ? 0 : revision);
   }
 
   /** Forgets a job once nothing of it is left; what records remain are deleted first. */
@@ -415,9 +317,10 @@
     }
   }
 
-  /** A condition failed: the marks are read anew, and the next transaction is built from them. */
-  private void settle(Draft d, List<String> failed) {
-    List<Written> written = d.written;
+  /**
+   * A condition failed: the versions are read anew, and the next transaction is built from them.
+   */
+  private void settle(CommitDraft draft, List<String> failed) {
     if (failed.contains(Election.LEADER)) {
       busy = false;
       events.deposed();
@@ -425,30 +328,30 @@
     }
     LOG.info("event=commit_conflict keys={}", failed);
     // Somebody else deleted or changed it: it is left to the next takeover.
-    d.deleted.forEach(leftovers::removeLong);
+    draft.deleted().forEach(leftovers::removeLong);
+    Predicate<String> concerned = key -> failed.isEmpty() || failed.contains(key);
     List<Consumer<Runnable>> steps = new ArrayList<>();
-    for (Written w : written) {
-      if (failed.isEmpty() || failed.contains(Records.run(w.chunk))) {
-        steps.add(next -> adopt(w.chunk, next));
+    List<Job> jobs = new ArrayList<>(draft.ends());
+    for (WrittenChunk w : draft.chunks()) {
+      if (concerned.test(Records.run(w.chunk()))) {
+        steps.add(next -> adopt(w, next));
       }
+      addOnce(jobs, w.chunk().job);
     }
-    List<Job> jobs = new ArrayList<>(d.ends);
-    for (Written w : written) {
-      if (!jobs.contains(w.chunk.job)) {
-        jobs.add(w.chunk.job);
+    for (WrittenShared r : draft.shared()) {
+      if (concerned.test(Records.starts(r.record()))) {
+        steps.add(next -> adopt(r, next));
       }
+      r.chunks().forEach(w -> addOnce(jobs, w.chunk().job));
     }
     for (Job j : jobs) {
       String id = j.spec.id();
-      if (failed.isEmpty()
-          || failed.contains(Records.open(id))
-          || failed.contains(Records.end(id))) {
+      if (concerned.test(Records.open(id)) || concerned.test(Records.end(id))) {
         steps.add(next -> reread(j, next));
       }
     }
-    for (Job j : d.guarded) {
-      if (failed.isEmpty()
-          || failed.contains(Records.release(j.spec.id()))
+    for (Job j : draft.guarded()) {
+      if (concerned.test(Records.release(j.spec.id()))
           || failed.stream().anyMatch(Records::isLeague)) {
         steps.add(next -> events.reguard(j, next));
       }
@@ -456,6 +359,12 @@
     run(steps, 0);
   }
 
+  private static void addOnce(List<Job> jobs, Job job) {
+    if (!jobs.contains(job)) {
+      jobs.add(job);
+    }
+  }
+
   private void run(List<Consumer<Runnable>> steps, int i) {
     if (stopped) {
       return;
@@ -469,19 +378,62 @@
     }
   }
 
-  private void adopt(Chunk c, Runnable next) {
+  /** Takes the version that is there; when the value is what was to be written, it was written. */
+  private void adopt(WrittenChunk w, Runnable next) {
+    read(
+        Records.run(w.chunk()),
+        item -> {
+          if (same(w.value(), item.value())) {
+            committed(w, item.mark());
+          } else {
+            w.chunk().mark = item.mark();
+          }
+          next.run();
+        });
+  }
+
+  private void adopt(WrittenShared r, Runnable next) {
+    read(
+        Records.starts(r.record()),
+        item -> {
+          if (same(r.value(), item.value())) {
+            committed(r, item.mark());
+          } else {
+            r.record().mark = item.mark();
+          }
+          next.run();
+        });
+  }
+
+  private void read(String key, Consumer<Item> then) {
     state.get(
-        Records.run(c),
+        key,
         (result, item) -> {
+          if (stopped) {
+            return;
+          }
           if (result == Result.OK) {
-            c.mark = item.mark();
-            next.run();
-          } else if (!stopped) {
-            loop.after(300, () -> adopt(c, next));
+            then.accept(item);
+          } else {
+            loop.after(RETRY_MS, () -> read(key, then));
           }
         });
   }
 
+  /**
+   * Only this term's transactions write these keys, so an equal value is that of an earlier copy.
+   */
+  private static boolean same(JsonNode written, JsonNode found) {
+    if (written == null || found == null) {
+      return false;
+    }
+    try {
+      return Json.parseObject(Json.bytes(written)).equals(found);
+    } catch (BadMessage e) {
+      return false;
+    }
+  }
+
   /** Reads how a job ended, if it did. */
   void reread(Job j, Runnable next) {
     state.get(
@@ -491,13 +443,13 @@
             return;
           }
           if (result != Result.OK) {
-            loop.after(300, () -> reread(j, next));
+            loop.after(RETRY_MS, () -> reread(j, next));
             return;
           }
           if (item.value() != null) {
             boolean done = item.value().path("end").asText().equals("done");
             if (done) {
-              ledger.ended(j);
+              ledger.ended(j, loop.now());
               events.ended(j, true);
               tidy(j);
             } else {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -131,6 +131,9 @@
     this.responder =
         new FailureResponder(
             ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
+    if (site.operator.records().shareStarts()) {
+      ledger.sharedRecords().enable();
+    }
     this.placement = new Placement(ledger);
     this.view =
         new CancellationView(
@@ -247,6 +250,11 @@
       share.accepted();
     }
 
+    @Override
+    public void cancelled() {
+      share.cancelled();
+    }
+
     @Override
     public void opened(Job job) {
       holds.opened(job);
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -53,6 +53,17 @@
   /** Ended jobs remembered for each MB of memory: at about 120 bytes each, a twentieth of it. */
   private static final int ENDS_PER_MB = 400;
 
+  /**
+   * Connections to the state service: while many answers are lost each keeps one until its call is
+   * given up, and renewals and commits have to find a free one even then.
+   */
+  private static final int STATE_CONNECTIONS = 128;
+
+  /** Copies of late transactions, as a part of the state service's calls, for all nodes. */
+  private static final double REPEATED_SHARE = 0.3;
+
+  private static final double LEAST_REPEATS_PER_S = 4;
+
   private final Site site;
   private final Host host;
   private final Loop loop;
@@ -89,7 +100,7 @@
     String json = "application/json";
     // The largest answer of an outside service: a small part of the memory.
     int ram = (int) (s.ramMb() * 1024 * 1024);
-    Caller stateCaller = host.caller(s.state(), json, 32, ram / 8);
+    Caller stateCaller = host.caller(s.state(), json, STATE_CONNECTIONS, ram / 8);
     Caller cloudCaller = host.caller(s.cloud(), json, 8, ram / 8);
     Caller follower = host.caller(s.state(), json, 8, ram / 8);
     boolean on = site.operator.links().isPresent() && !s.members().isEmpty();
@@ -101,6 +112,8 @@
         on
             ? new StateStore(loop, links.state(stateCaller), links.state(follower))
             : new StateStore(loop, stateCaller, follower);
+    state.repeatsPerSecond(
+        Math.max(LEAST_REPEATS_PER_S, s.stateRps() * REPEATED_SHARE / s.nodes()));
     long now = loop.now();
     this.cloud =
         new CloudApi(
--- a/src/main/java/org/mallowroad/controller/RecordReader.java
+++ b/src/main/java/org/mallowroad/controller/RecordReader.java
@@ -1,15 +1,19 @@
 package org.mallowroad.controller;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import it.unimi.dsi.fastutil.objects.ObjectOpenHashSet;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.mallowroad.core.Chunk;
 import org.mallowroad.core.Job;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.MachineType;
+import org.mallowroad.core.SharedRecord;
 import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.net.Loop;
 import org.mallowroad.state.Records;
@@ -34,6 +38,14 @@
    */
   private static final long WATCH_MS = 1_500;
 
+  /** Open jobs, runs, shared starts and rents. */
+  private static final int LISTS = 4;
+
+  /** Ends that a takeover reads at once: a few, beside the leader's other calls. */
+  private static final int ENDS_AT_ONCE = 4;
+
+  private static final long RETRY_MS = 200;
+
   /** Records that a takeover takes in one turn of the loop. */
   private static final int TURN = 24;
 
@@ -57,6 +69,9 @@
     /** A job was accepted, here or elsewhere. */
     void accepted();
 
+    /** A job that was not about to end is over: cancelled, here or elsewhere. */
+    void cancelled();
+
     /** There may be something to place or to stop. */
     void changed();
   }
@@ -96,6 +111,7 @@
     Takeover t = new Takeover();
     state.list(Records.OPEN, (r, items, revision) -> t.open(r, items, revision));
     state.list(Records.RUN, (r, items, revision) -> t.run(r, items));
+    state.list(Records.STARTS, (r, items, revision) -> t.shared(r, items));
     state.list(Records.HIRE, (r, items, revision) -> t.hire(r, items));
   }
 
@@ -104,6 +120,7 @@
     private final long sentMs = loop.now();
     private List<Item> open;
     private List<Item> run;
+    private List<Item> shared;
     private List<Item> hire;
     private long revision;
     private int lists;
@@ -120,6 +137,11 @@
       read(r);
     }
 
+    void shared(Result r, List<Item> items) {
+      shared = items;
+      read(r);
+    }
+
     void hire(Result r, List<Item> items) {
       hire = items;
       read(r);
@@ -127,7 +149,7 @@
 
     private void read(Result r) {
       failed |= r != Result.OK;
-      if (++lists < 3 || stopped) {
+      if (++lists < LISTS || stopped) {
         return;
       }
       if (failed) {
@@ -147,7 +169,7 @@
       if (to < open.size()) {
         loop.soon(() -> accept(to));
       } else {
-        restoreWithdrawn(open, run, () -> restore(0));
+        restoreOver(open, run, shared, () -> restore(0));
       }
     }
 
@@ -165,33 +187,40 @@
       if (to < run.size()) {
         loop.soon(() -> restore(to));
       } else {
-        for (Job j : ledger.jobs()) {
-          ledger.restored(j, loop.now());
-        }
-        // Of jobs that are over as well: restoreWithdrawn has read how each of them ended.
-        view.answered(sentMs).applied();
-        office.taken(run.size(), hire);
-        follow(revision);
+        restoreShared(0);
       }
     }
+
+    private void restoreShared(int from) {
+      if (stopped) {
+        return;
+      }
+      int to = Math.min(shared.size(), from + TURN);
+      shared.subList(from, to).forEach(RecordReader.this::restoreShared);
+      if (to < shared.size()) {
+        loop.soon(() -> restoreShared(to));
+        return;
+      }
+      for (Job j : ledger.jobs()) {
+        ledger.restored(j, loop.now());
+      }
+      // Of jobs that are over as well: restoreOver has read how each of them ended.
+      view.answered(sentMs).applied();
+      office.taken(run.size() + shared.size(), hire);
+      follow(revision);
+    }
   }
 
-  /** Attempts of jobs that are over still count: their specs stand in the end records. */
-  private void restoreWithdrawn(List<Item> open, List<Item> run, Runnable next) {
+  /** Attempts of cancelled jobs still count: their specs stand in the end records. */
+  private void restoreOver(List<Item> open, List<Item> run, List<Item> shared, Runnable next) {
     ObjectOpenHashSet<String> known = new ObjectOpenHashSet<>();
     open.forEach(i -> known.add(i.key().substring(Records.OPEN.length())));
-    ObjectOpenHashSet<String> over = new ObjectOpenHashSet<>();
-    for (Item i : run) {
-      String id = jobOf(i.key());
-      if (!known.contains(id)) {
-        over.add(id);
-      }
-    }
+    ObjectLinkedOpenHashSet<String> over = new ObjectLinkedOpenHashSet<>();
+    run.forEach(i -> over.add(jobOf(i.key())));
+    shared.forEach(i -> Records.sharedRuns(i.value()).forEach(e -> over.add(e.getKey())));
+    over.removeAll(known);
     ObjectOpenHashSet<String> done = new ObjectOpenHashSet<>();
-    readEnds(
-        new ArrayList<>(over),
-        0,
-        done,
+    Runnable read =
         () -> {
           for (Item i : run) {
             if (done.contains(jobOf(i.key()))) {
@@ -199,39 +228,68 @@
             }
           }
           next.run();
-        });
+        };
+    new EndReader(new ArrayDeque<>(over), done, read).begin();
   }
 
-  private void readEnds(List<String> ids, int i, ObjectOpenHashSet<String> over, Runnable next) {
-    if (stopped) {
-      return;
+  /** Reads how jobs ended, a few at a time. */
+  private final class EndReader {
+    private final ArrayDeque<String> ids;
+    private final ObjectOpenHashSet<String> done;
+    private final Runnable next;
+    private int out;
+
+    EndReader(ArrayDeque<String> ids, ObjectOpenHashSet<String> done, Runnable next) {
+      this.ids = ids;
+      this.done = done;
+      this.next = next;
     }
-    if (i == ids.size()) {
-      next.run();
-      return;
+
+    void begin() {
+      if (ids.isEmpty()) {
+        next.run();
+      }
+      for (int i = 0; i < ENDS_AT_ONCE && !ids.isEmpty(); i++) {
+        out++;
+        read(ids.poll());
+      }
     }
-    state.get(
-        Records.end(ids.get(i)),
-        (result, item) -> {
-          if (result != Result.OK) {
-            loop.after(200, () -> readEnds(ids, i, over, next));
-            return;
-          }
-          try {
-            JsonNode v = item.value();
-            if (v != null && !v.has("open")) {
-              over.add(ids.get(i));
-            } else if (v != null) {
-              JobSpec spec = Records.spec(v.get("open"), site.codec);
-              if (spec.team() >= 0) {
-                ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
-              }
+
+    private void read(String id) {
+      state.get(
+          Records.end(id),
+          (result, item) -> {
+            if (stopped) {
+              return;
+            }
+            if (result != Result.OK) {
+              loop.after(RETRY_MS, () -> read(id));
+              return;
+            }
+            take(id, item);
+            if (!ids.isEmpty()) {
+              read(ids.poll());
+            } else if (--out == 0) {
+              next.run();
             }
-          } catch (BadMessage e) {
-            LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+          });
+    }
+
+    private void take(String id, Item item) {
+      try {
+        JsonNode v = item.value();
+        if (v != null && !v.has("open")) {
+          done.add(id);
+        } else if (v != null) {
+          JobSpec spec = Records.spec(v.get("open"), site.codec);
+          if (spec.team() >= 0) {
+            ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
           }
-          readEnds(ids, i + 1, over, next);
-        });
+        }
+      } catch (BadMessage e) {
+        LOG.error("event=record_unreadable key={} reason=\"{}\"", item.key(), e.getMessage());
+      }
+    }
   }
 
   private static String jobOf(String runKey) {
@@ -239,18 +297,33 @@
   }
 
   private void restoreRun(Job job, Item i) {
-    JsonNode v = i.value();
     int index = Integer.parseInt(i.key().substring(i.key().lastIndexOf('/') + 1));
-    if (index >= job.chunkCount()) {
-      return;
+    if (index < job.chunkCount()) {
+      restoreChunk(job.chunk(index), i.mark(), i.value(), i.key());
     }
-    Chunk c = job.chunk(index);
-    ledger.restore(c, i.mark(), Records.done(v), v.path("high").asInt());
+  }
+
+  /** Jobs that are done stay listed until the record is written again: they are left out. */
+  private void restoreShared(Item i) {
+    SharedRecord r =
+        ledger.sharedRecords().restore(i.key().substring(Records.STARTS.length()), i.mark());
+    for (Map.Entry<String, JsonNode> run : Records.sharedRuns(i.value())) {
+      Job job = ledger.job(run.getKey());
+      if (job != null && job.chunkCount() == 1) {
+        ledger.sharedRecords().restored(r, job.chunk(0));
+        restoreChunk(job.chunk(0), 0, run.getValue(), i.key());
+      }
+    }
+  }
+
+  private void restoreChunk(Chunk c, long mark, JsonNode v, String key) {
+    Job job = c.job;
+    ledger.restore(c, mark, Records.done(v), v.path("high").asInt());
     for (Records.Live a : Records.live(v)) {
       MachineType type = site.type(a.type());
       int zone = site.zones.find(a.zone());
       if (type == null || zone < 0) {
-        LOG.error("event=record_unreadable key={} machine={}", i.key(), a.machine());
+        LOG.error("event=record_unreadable key={} machine={}", key, a.machine());
         continue;
       }
       Machine m = ledger.meet(a.machine(), type, zone, a.spot(), loop.now());
@@ -312,6 +385,7 @@
   private void closed(String id, CancellationView.Reading reading) {
     Job job = ledger.job(id);
     if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
+      office.cancelled();
       reading.waitsForOneMore();
       committer.reread(
           job,
--- a/src/main/java/org/mallowroad/controller/WriteShare.java
+++ b/src/main/java/org/mallowroad/controller/WriteShare.java
@@ -3,9 +3,9 @@
 import org.mallowroad.net.Budget;
 
 /**
- * The leader's part of the state service's writes. Users' submissions come first: one that is
- * refused comes back a second later at the earliest, and what the leader writes can wait for a
- * moment. So the leader keeps to what the submissions of the last seconds leave, at least half and
+ * The leader's part of the state service's writes. Users' submissions and cancellations come first:
+ * one that is refused comes back a second later at the earliest, and what the leader writes can
+ * wait for a moment. So the leader keeps to what those of the last seconds leave, at least half and
  * at most three quarters, and loses no more than that to a burst it could not see coming.
  */
 final class WriteShare {
@@ -20,9 +20,14 @@
 
   private static final long EVERY_MS = 1_000;
 
+  /** Writes of a submission, and of a cancellation: the end record and the open record. */
+  private static final int ACCEPT_WRITES = 1;
+
+  private static final int CANCEL_WRITES = 2;
+
   private final double rps;
   private final Budget writes;
-  private int accepted;
+  private int others;
   private double perSecond;
   private long sinceMs;
 
@@ -32,9 +37,14 @@
     this.sinceMs = now;
   }
 
-  /** A job was accepted by some node: one write. */
+  /** A job was accepted by some node. */
   void accepted() {
-    accepted++;
+    others += ACCEPT_WRITES;
+  }
+
+  /** A job was cancelled by some node. */
+  void cancelled() {
+    others += CANCEL_WRITES;
   }
 
   /** Call often. */
@@ -43,8 +53,8 @@
     if (ms < EVERY_MS) {
       return;
     }
-    perSecond += NEWEST * (accepted * 1000.0 / ms - perSecond);
-    accepted = 0;
+    perSecond += NEWEST * (others * 1000.0 / ms - perSecond);
+    others = 0;
     sinceMs = now;
     double left = rps * (1 - FREE) - perSecond;
     writes.rate(Math.max(rps * LEAST, Math.min(rps * MOST, left)), now);
--- a/src/main/java/org/mallowroad/core/Chunk.java
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -14,6 +14,9 @@
   /** The record's version as last seen; 0 when there is none. */
   public long mark;
 
+  /** The record that it shares with other small jobs, or null: then it has one of its own. */
+  public SharedRecord shared;
+
   /** True when memory knows more than the record. */
   public boolean dirty;
 
@@ -31,6 +34,11 @@
     this.index = index;
   }
 
+  /** True when nothing of it will be on record any more: its job is over and nothing runs. */
+  public boolean finished() {
+    return (job.withdrawn || job.ended) && !hasLive();
+  }
+
   /** First task of the chunk. */
   public int from() {
     return index * TASKS;
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -110,6 +110,7 @@
   private final Gathering gathering = new Gathering(this);
   private final Dialogue dialogue;
   private final Stages stages;
+  private final SharedRecords sharedRecords;
 
   /** An empty ledger for a term that suspects by the default thresholds. */
   public Ledger(long term, double leaseS, double reportS, List<Team> teams, Names zones) {
@@ -138,6 +139,7 @@
       Health health,
       FetchPolicy fetches) {
     this.stages = new Stages(fetches, zones.size());
+    this.sharedRecords = new SharedRecords(term);
     this.health = health;
     this.freshMs = (long) (reportS * 1250) + 1_500;
     this.term = term;
@@ -183,6 +185,7 @@
     sizes.put("dirty", dirty.size());
     sizes.put("urgent", urgent.size());
     sizes.put("outbox", outbox.size());
+    sizes.put("shared", sharedRecords.all().size());
     sizes.put("ending", ending.size());
     sizes.put("watched", health.silence().known());
     sizes.put("classes", health.paces().classes());
@@ -253,6 +256,11 @@
     return health;
   }
 
+  /** Which small jobs share records. */
+  public SharedRecords sharedRecords() {
+    return sharedRecords;
+  }
+
   /** Which room is held for gangs. */
   public Gathering gathering() {
     return gathering;
@@ -370,6 +378,11 @@
       return;
     }
     job.withdrawn = true;
+    over(job, now);
+  }
+
+  /** Nothing of a job that is over starts any more, and what there is of it ends. */
+  private void over(Job job, long now) {
     job.pending.clear();
     ending.remove(job);
     for (Attempt a : job.live) {
@@ -406,11 +419,13 @@
     job.held = true;
   }
 
-  /** The job's end is committed. */
-  public void ended(Job job) {
+  /**
+   * The job's end is committed, or was found. A leader that took a list of open jobs which was
+   * older than that end may have placed tasks of it again (docs/incidents, done-job-placed-again).
+   */
+  public void ended(Job job, long now) {
     job.ended = true;
-    job.pending.clear();
-    ending.remove(job);
+    over(job, now);
   }
 
   /** Drops a job of which nothing is left, once its records are deleted. */
@@ -420,6 +435,7 @@
     for (Chunk c : job.chunks) {
       dirty.remove(c);
       urgent.remove(c);
+      sharedRecords.forget(c);
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/SharedRecord.java
@@ -0,0 +1,51 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import java.util.Collection;
+
+/** One record in the state service that holds the attempts of several small jobs. */
+public final class SharedRecord {
+  /** Its name, never used again. */
+  public final String name;
+
+  /** The record's version as last seen; 0 when there is none. */
+  public long mark;
+
+  private final ObjectLinkedOpenHashSet<Chunk> members = new ObjectLinkedOpenHashSet<>();
+
+  /** True when the record still lists a cancelled job of which nothing is left. */
+  private boolean outdated;
+
+  SharedRecord(String name, long mark) {
+    this.name = name;
+    this.mark = mark;
+  }
+
+  /** Jobs whose attempts it holds, those that are finished and not yet forgotten too. */
+  public Collection<Chunk> members() {
+    return members;
+  }
+
+  void add(Chunk c) {
+    c.shared = this;
+    members.add(c);
+  }
+
+  void remove(Chunk c) {
+    members.remove(c);
+    // A next leader would restore a cancelled job's attempts, and wait for proof that they are
+    // gone; a done job's it ignores.
+    outdated |= c.job.withdrawn;
+  }
+
+  /** True when it is to be written or deleted although no member of it has changed. */
+  public boolean toWrite() {
+    return mark > 0 && (outdated || members.isEmpty());
+  }
+
+  /** It was written as it is in memory. */
+  public void written(long newMark) {
+    mark = newMark;
+    outdated = false;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/SharedRecords.java
@@ -0,0 +1,104 @@
+package org.mallowroad.core;
+
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
+import java.util.Collection;
+
+/**
+ * Which small jobs share a record, so that starts of many jobs take one write, and so do the ends
+ * of all of them: a record of its own costs a small job one write when it starts and one when it is
+ * over.
+ *
+ * <p>A record takes new jobs until it is full, then another one does. It is written with each start
+ * of a member, and deleted once no member is left. Jobs that are done stay listed in it until it is
+ * written for another reason; whoever reads it ignores them, since their end records say so.
+ */
+public final class SharedRecords {
+  /** Jobs of more tasks have records of their own. */
+  static final int MOST_TASKS = 4;
+
+  /**
+   * Members of a record: their conditions fit into one transaction, their attempts into a value.
+   */
+  public static final int MOST_MEMBERS = 24;
+
+  private final long term;
+  private final ObjectLinkedOpenHashSet<SharedRecord> records = new ObjectLinkedOpenHashSet<>();
+  private SharedRecord filling;
+  private long count;
+  private boolean enabled;
+
+  SharedRecords(long term) {
+    this.term = term;
+  }
+
+  /** New small jobs share records from now on; those that do already go on in any case. */
+  public void enable() {
+    enabled = true;
+  }
+
+  /** All records that there are. */
+  public Collection<SharedRecord> all() {
+    return records;
+  }
+
+  /** True when the chunk is to be written into a shared record, which it has from then on. */
+  public boolean shares(Chunk c) {
+    if (c.shared != null) {
+      return true;
+    }
+    JobSpec s = c.job.spec;
+    if (!enabled || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
+      return false;
+    }
+    if (filling == null || filling.members().size() >= MOST_MEMBERS) {
+      filling = new SharedRecord(term + "-" + count++, 0);
+      records.add(filling);
+    }
+    filling.add(c);
+    return true;
+  }
+
+  /** True when a record is to be written or deleted although no member of it has changed. */
+  public boolean anyToWrite() {
+    for (SharedRecord r : records) {
+      if (r.toWrite()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** A record that an earlier leader wrote. */
+  public SharedRecord restore(String name, long mark) {
+    SharedRecord r = new SharedRecord(name, mark);
+    records.add(r);
+    return r;
+  }
+
+  /** A member of it was read from it. */
+  public void restored(SharedRecord r, Chunk c) {
+    r.add(c);
+  }
+
+  /** Nothing of the job is left. */
+  void forget(Chunk c) {
+    if (c.shared != null) {
+      c.shared.remove(c);
+      drop(c.shared);
+    }
+  }
+
+  /** The record was written or deleted. */
+  public void written(SharedRecord r, long mark) {
+    r.written(mark);
+    drop(r);
+  }
+
+  /** A record that nobody needs and that is not there any more is forgotten. */
+  private void drop(SharedRecord r) {
+    if (r.members().isEmpty() && r.mark == 0) {
+      records.remove(r);
+      filling = filling == r ? null : filling;
+    }
+  }
+}
--- a/src/main/java/org/mallowroad/net/Budget.java
+++ b/src/main/java/org/mallowroad/net/Budget.java
@@ -20,6 +20,11 @@
     lastMs = now;
   }
 
+  /** Tokens that come a second. */
+  public double perSecond() {
+    return perMs * 1000;
+  }
+
   /** From now on so many come a second. */
   public void rate(double perSecond, long now) {
     refill(now);
--- a/src/main/java/org/mallowroad/net/Caller.java
+++ b/src/main/java/org/mallowroad/net/Caller.java
@@ -13,6 +13,14 @@
      * @param sent false when it is certain that the other side did not get the request
      */
     void failed(boolean sent);
+
+    /**
+     * Not sent, since all connections of this caller are in use: a failure that says nothing of the
+     * other side.
+     */
+    default void exhausted() {
+      failed(false);
+    }
   }
 
   /**
--- a/src/main/java/org/mallowroad/net/HttpCaller.java
+++ b/src/main/java/org/mallowroad/net/HttpCaller.java
@@ -73,7 +73,7 @@
       }
     }
     if (open >= maxOpen) {
-      answer.failed(false);
+      answer.exhausted();
       return;
     }
     call.start(timeoutMs);
--- a/src/main/java/org/mallowroad/peer/Detour.java
+++ b/src/main/java/org/mallowroad/peer/Detour.java
@@ -156,6 +156,11 @@
               failed(sent, null);
             }
 
+            @Override
+            public void exhausted() {
+              failed(false, null); // No sign of a cut.
+            }
+
             private void failed(boolean sent, Runnable otherwise) {
               out--;
               sentAny |= sent;
--- a/src/main/java/org/mallowroad/state/Records.java
+++ b/src/main/java/org/mallowroad/state/Records.java
@@ -10,11 +10,13 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.mallowroad.core.Attempt;
 import org.mallowroad.core.Chunk;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.Machine;
 import org.mallowroad.core.Names;
+import org.mallowroad.core.SharedRecord;
 import org.mallowroad.core.fold.BlockKey;
 import org.mallowroad.wire.BadMessage;
 import org.mallowroad.wire.Fields;
@@ -32,6 +34,9 @@
   /** Attempts and done tasks of a part of a job's tasks. */
   public static final String RUN = "run/";
 
+  /** Attempts of several small jobs together ({@code core.SharedRecord}). */
+  public static final String STARTS = "starts/";
+
   /** Rental requests whose machines are not all accounted for. */
   public static final String HIRE = "hire/";
 
@@ -118,6 +123,27 @@
     return RUN + c.job.spec.id() + "/" + c.index;
   }
 
+  /** Key of a record that small jobs share. */
+  public static String starts(SharedRecord r) {
+    return STARTS + r.name;
+  }
+
+  /** A record that small jobs share: what a run record has, by job. */
+  public static ObjectNode sharedValue(Iterable<Chunk> members, Names zones) {
+    ObjectNode o = Json.object();
+    for (Chunk c : members) {
+      o.set(c.job.spec.id(), runValue(c, zones));
+    }
+    return o;
+  }
+
+  /** What a shared record has of each of its jobs, as run records have it. */
+  public static List<Map.Entry<String, JsonNode>> sharedRuns(JsonNode value) {
+    List<Map.Entry<String, JsonNode>> out = new ArrayList<>();
+    out.addAll(value.properties());
+    return out;
+  }
+
   /** An open record. */
   public static ObjectNode openValue(ObjectNode submission, long nowMs) {
     ObjectNode o = Json.object();
--- a/src/main/java/org/mallowroad/state/StateStore.java
+++ b/src/main/java/org/mallowroad/state/StateStore.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.mallowroad.net.Budget;
 import org.mallowroad.net.Caller;
 import org.mallowroad.net.LogLimiter;
 import org.mallowroad.net.Loop;
@@ -21,6 +22,17 @@
   private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
   private static final long TIMEOUT_MS = 1500;
 
+  /** After a refusal for its limits no copy of a transaction is sent for so long. */
+  private static final long CROWDED_MS = 1_000;
+
+  /** After a copy of a transaction answers count as late for so long. */
+  private static final long REPEATED_MS = 3_000;
+
+  /** Copies of transactions a second, and at once, where nothing else is set. */
+  private static final double REPEATS_PER_S = 6;
+
+  private static final double REPEAT_BURST_S = 2;
+
   private final Loop loop;
   private final LogLimiter garbled = LogLimiter.usual();
   private final Caller caller;
@@ -29,7 +41,10 @@
   private long servedMs = Long.MIN_VALUE / 2;
   private long failedMs = Long.MIN_VALUE / 2;
   private long crowdedMs = Long.MIN_VALUE / 2;
+  private long repeatedMs = Long.MIN_VALUE / 2;
   private long wrong;
+  private final Latency latency = new Latency();
+  private Budget repeats;
 
   /** How a call went. */
   public enum Result {
@@ -81,6 +96,12 @@
     this.loop = loop;
     this.caller = caller;
     this.follower = follower;
+    repeatsPerSecond(REPEATS_PER_S);
+  }
+
+  /** Bounds the copies of transactions whose answers are late. */
+  public void repeatsPerSecond(double perSecond) {
+    repeats = new Budget(perSecond, REPEAT_BURST_S * perSecond, loop.now());
   }
 
   /**
@@ -223,6 +244,40 @@
     return URLEncoder.encode(s, StandardCharsets.UTF_8).replace("%2F", "/");
   }
 
+  /**
+   * Runs a transaction whose conditions make it safe to be carried out twice, and sends it again
+   * while its answer is late ({@link RepeatedTransaction}). {@code NO} may then mean that an
+   * earlier copy was carried out: the caller compares what it finds with what it wrote.
+   *
+   * @param onRepeat told of each further copy, which counts against the service's limits as well
+   */
+  public void runRepeated(Txn txn, Runnable onRepeat, Ended ended) {
+    new RepeatedTransaction(
+            loop,
+            listener -> run(txn, listener),
+            this::mayRepeat,
+            () -> repeated(onRepeat),
+            latency,
+            ended)
+        .send();
+  }
+
+  /** True while answers of transactions are late: a moment ago one was sent again. */
+  public boolean answersLate() {
+    return loop.now() - repeatedMs < REPEATED_MS;
+  }
+
+  private void repeated(Runnable onRepeat) {
+    repeatedMs = loop.now();
+    onRepeat.run();
+  }
+
+  /** Copies are a small part of the calls, and none is sent while calls are refused. */
+  private boolean mayRepeat() {
+    long now = loop.now();
+    return now - crowdedMs > CROWDED_MS && !failing() && repeats.take(1, now);
+  }
+
   /** Runs a transaction. */
   public void run(Txn txn, Ended ended) {
     caller.call(
@@ -304,6 +359,11 @@
         null,
         waitMs + 2 * TIMEOUT_MS,
         new Parsed() {
+          @Override
+          boolean measured() {
+            return false;
+          }
+
           @Override
           void ok(int status, ObjectNode o) throws BadMessage {
             if (status == 410) {
@@ -342,11 +402,19 @@
 
     abstract void none(boolean sent);
 
+    /** False for calls that wait for something to happen. */
+    boolean measured() {
+      return true;
+    }
+
     @Override
     public final void answered(int status, byte[] body) {
       if (status == 200 || status == 404 || status == 409 || status == 410) {
         contactMs = Math.max(contactMs, sentMs);
         servedMs = loop.now();
+        if (measured()) {
+          latency.sample(servedMs - sentMs);
+        }
       } else if (status == 503) {
         failedMs = loop.now();
       } else if (status == 429) {
@@ -427,6 +495,11 @@
       return writes.size();
     }
 
+    /** Number of conditions. */
+    public int conditions() {
+      return conditions.size();
+    }
+
     ObjectNode json() {
       return o;
     }
--- a/src/main/java/org/mallowroad/world/CloudModel.java
+++ b/src/main/java/org/mallowroad/world/CloudModel.java
@@ -38,6 +38,12 @@
   /** Every call gets 503. */
   boolean out;
 
+  /** New machines are up within two seconds. */
+  boolean quickBoots;
+
+  private static final long QUICK_BOOT_MS = 300;
+  private static final long MOST_QUICK_BOOT_MS = 1_700;
+
   /** For at most so many machines in each zone; {@code maker} gets name and zone. */
   CloudModel(
       Timeline time,
@@ -124,6 +130,12 @@
     }
   }
 
+  private long bootMs() {
+    return quickBoots
+        ? QUICK_BOOT_MS + random.nextLong(MOST_QUICK_BOOT_MS)
+        : BOOT_MS / 2 + random.nextLong(BOOT_MS);
+  }
+
   private ObjectNode rent(ObjectNode r) throws BadMessage {
     String hire = Json.string(r, "hire", 200);
     ObjectNode known = hires.get(hire);
@@ -140,7 +152,7 @@
       all.add(w);
       machines.put(name, new Rented(w, time.ms()));
       names.add(name);
-      time.after((BOOT_MS / 2 + random.nextLong(BOOT_MS)) * 1000, w, w::up);
+      time.after(bootMs() * 1000, w, w::up);
     }
     if (!names.isEmpty()) {
       hires.put(hire, o);
--- a/src/main/java/org/mallowroad/world/Fault.java
+++ b/src/main/java/org/mallowroad/world/Fault.java
@@ -79,7 +79,19 @@
     /** Jobs that end are cancelled, asked about and submitted again at the moment of their end. */
     CANCEL_AT_END(false),
     /** Submissions repeated, done jobs cancelled, jobs that fit nothing or lack a field. */
-    ODD_REQUESTS(false);
+    ODD_REQUESTS(false),
+    /** Direct commands get no answer and are carried out once, 2 to 16 s late. */
+    LATE_COMMANDS(false),
+    /** Transactions are carried out at once, and only their answers are lost. */
+    ANSWERS_LOST(false),
+    /** Copies of reports are kept until another controller leads, and then reach every one. */
+    REPORTS_FOR_NEXT(false),
+    /** Users ask at all nodes, repeat and cancel right after each accept, end and cancellation. */
+    CLOSE_LOOKS(false),
+    /** New machines are up within two seconds. */
+    QUICK_BOOTS(false),
+    /** A burst of one-task jobs, {@code count} a second, a quarter of them cancelled. */
+    SINGLE_JOBS(false);
 
     /** True when it leaves some links of a controller up. */
     public final boolean partial;
--- a/src/main/java/org/mallowroad/world/Network.java
+++ b/src/main/java/org/mallowroad/world/Network.java
@@ -127,6 +127,28 @@
   /** While above 0, one transaction in so many is carried out late and never answered. */
   int lateWriteOneIn;
 
+  /** While above 0, one transaction in so many is carried out, and its answer is lost. */
+  int lostAnswerOneIn;
+
+  /** While above 0, one direct command in so many is carried out late and never answered. */
+  int lateCommandOneIn;
+
+  /** While above 0, a copy of one report in so many is kept for {@link #releaseKept}. */
+  int keepReportOneIn;
+
+  private record KeptReport(Party from, byte[] body) {}
+
+  private final ArrayDeque<KeptReport> kept = new ArrayDeque<>();
+
+  /** Reports that are kept; the oldest go first. */
+  private static final int MOST_KEPT = 200;
+
+  /** A late transaction or command comes this much later at least. */
+  private static final long LATE_US = 2_000_000;
+
+  private static final long MOST_LATE_WRITE_US = 10_000_000;
+  private static final long MOST_LATE_COMMAND_US = 14_000_000;
+
   /** A late copy of a report comes this much later at the most: several leases. */
   private static final long LATE_REPORT_US = 60_000_000;
 
@@ -149,6 +171,13 @@
     };
   }
 
+  /** Changes answers of controllers to users; tests of the checker put a faulty service here. */
+  interface AnswerFilter {
+    byte[] answer(Party from, String target, byte[] body);
+  }
+
+  AnswerFilter filter = (from, target, body) -> body;
+
   private Cut cutting(Party a, Party b) {
     if (b.deaf) {
       return SILENCE;
@@ -213,15 +242,40 @@
                       target,
                       body,
                       (status, bytes) ->
-                          back(b, a, () -> call.end(() -> answer.answered(status, bytes)))));
+                          back(
+                              b,
+                              a,
+                              () ->
+                                  call.end(
+                                      () ->
+                                          answer.answered(
+                                              status,
+                                              a.kind == Kind.USERS
+                                                  ? filter.answer(b, target, bytes)
+                                                  : bytes)))));
         };
     if (lateWriteOneIn > 0 && target.equals("/multi") && random.nextInt(lateWriteOneIn) == 0) {
       // Carried out after newer ones of the same sender, who never hears of it.
-      long late = 2_000_000 + random.nextLong(10_000_000);
-      time.after(
-          late, null, () -> time.after(0, b, () -> b.take(a, method, target, body, (s, x) -> {})));
+      unanswered(a, b, method, target, body, LATE_US + random.nextLong(MOST_LATE_WRITE_US));
+      return;
+    }
+    if (lateCommandOneIn > 0 && target.equals("/orders") && random.nextInt(lateCommandOneIn) == 0) {
+      unanswered(a, b, method, target, body, LATE_US + random.nextLong(MOST_LATE_COMMAND_US));
       return;
     }
+    if (lostAnswerOneIn > 0 && target.equals("/multi") && random.nextInt(lostAnswerOneIn) == 0) {
+      unanswered(a, b, method, target, body, LATENCY_US);
+      return;
+    }
+    if (keepReportOneIn > 0
+        && target.equals("/v1/report")
+        && a.kind == Kind.WORKER
+        && random.nextInt(keepReportOneIn) == 0) {
+      kept.add(new KeptReport(a, body));
+      if (kept.size() > MOST_KEPT) {
+        kept.removeFirst();
+      }
+    }
     if (lateReportOneIn > 0
         && target.equals("/v1/report")
         && a.kind == Kind.WORKER
@@ -266,6 +320,39 @@
         });
   }
 
+  /** Delivers a request after a while; its sender never gets an answer. */
+  private void unanswered(
+      Party a, Party b, String method, String target, byte[] body, long afterUs) {
+    time.after(
+        afterUs,
+        null,
+        () -> {
+          if (b.listens()) {
+            time.after(0, b, () -> b.take(a, method, target, body, (status, bytes) -> {}));
+          }
+        });
+  }
+
+  /**
+   * Delivers the kept reports to every controller.
+   *
+   * @return how many there were
+   */
+  int releaseKept() {
+    int count = kept.size();
+    KeptReport report;
+    while ((report = kept.pollFirst()) != null) {
+      for (Party to : controllers) {
+        long us = LATENCY_US + random.nextLong(COPY_SPREAD_US);
+        unanswered(report.from, to, "POST", "/v1/report", report.body, us);
+      }
+    }
+    return count;
+  }
+
+  /** Within so long all kept reports arrive. */
+  private static final long COPY_SPREAD_US = 200_000;
+
   /** The same request once more; nobody waits for its answer. */
   private void copy(Party a, Party b, String method, String target, byte[] body) {
     Runnable lands =
--- a/src/main/java/org/mallowroad/world/Plan.java
+++ b/src/main/java/org/mallowroad/world/Plan.java
@@ -19,6 +19,7 @@
  * @param gangs how many gangs users submit besides
  * @param folds how many rating jobs, with corrections and prints that wait for them
  * @param weights how many jobs with an image that takes long, on workers of which most hand it on
+ * @param limits teams' limits as a part of the usual ones; 0 stands for all of them
  */
 public record Plan(
     long seed,
@@ -29,7 +30,8 @@
     List<Fault> faults,
     int gangs,
     int folds,
-    int weights) {
+    int weights,
+    double limits) {
   /** Zones of all worlds. */
   public static final List<String> ZONES = List.of("a", "b");
 
@@ -94,17 +96,42 @@
     Fault.Kind.FREEZE,
     Fault.Kind.HANG,
     Fault.Kind.CUT_ZONE,
-    Fault.Kind.PEERS_REFUSED
+    Fault.Kind.PEERS_REFUSED,
+    Fault.Kind.LATE_COMMANDS,
+    Fault.Kind.ANSWERS_LOST,
+    Fault.Kind.REPORTS_FOR_NEXT,
+    Fault.Kind.QUICK_BOOTS,
+    Fault.Kind.SINGLE_JOBS
   };
 
+  /** Teams' limits in one drawn meeting in so many, and their part of the usual ones. */
+  private static final int TIGHT_ONE_IN = 4;
+
+  private static final double TIGHT = 0.5;
+
   /** Without gangs. */
   public Plan(long seed, int nodes, int machines, int jobs, boolean links, List<Fault> faults) {
-    this(seed, nodes, machines, jobs, links, faults, 0, 0, 0);
+    this(seed, nodes, machines, jobs, links, faults, 0, 0, 0, 1);
+  }
+
+  /** With the usual limits. */
+  public Plan(
+      long seed,
+      int nodes,
+      int machines,
+      int jobs,
+      boolean links,
+      List<Fault> faults,
+      int gangs,
+      int folds,
+      int weights) {
+    this(seed, nodes, machines, jobs, links, faults, gangs, folds, weights, 1);
   }
 
   /** Bounds the lists. */
   public Plan {
     faults = List.copyOf(faults);
+    limits = limits > 0 ? limits : 1;
   }
 
   /**
@@ -191,7 +218,14 @@
             Fault.Kind.CANCEL_NOW, cancel, 3_000 + r.nextLong(30_000), 0, 0, "a", hang, 0, 6));
     faults.add(new Fault(Fault.Kind.CANCEL_AT_END, 5_000, 60_000, 0, 0, "a", "", 0, 3));
     faults.add(new Fault(Fault.Kind.ODD_REQUESTS, 5_000, 60_000, 0, 0, "a", "", 0, 1));
-    return new Plan(seed, nodes, 6 + r.nextInt(10), 16 + r.nextInt(16), links, faults);
+    if (r.nextBoolean()) {
+      faults.add(new Fault(Fault.Kind.CLOSE_LOOKS, 2_000, 100_000, 0, 0, "a", "", 0, 1));
+    }
+    boolean tight = r.nextInt(TIGHT_ONE_IN) == 0;
+    int machines = 6 + r.nextInt(10);
+    // Fewer jobs where the limits admit little at once.
+    int jobs = tight ? 12 + r.nextInt(4) : 16 + r.nextInt(16);
+    return new Plan(seed, nodes, machines, jobs, links, faults, 0, 0, 0, tight ? TIGHT : 1);
   }
 
   /** The same troubles, beside rating jobs that fold games and prints that wait for them. */
@@ -246,12 +280,14 @@
         switch (kind) {
           case STATE_OUT -> 12_000;
           case FREEZE, HANG -> 20_000;
-          case ALONE, COPIES, WORKERS_ONLY, LATE_REPORTS -> 55_000;
+          case ALONE, COPIES, WORKERS_ONLY, LATE_REPORTS, REPORTS_FOR_NEXT -> 55_000;
+          case SINGLE_JOBS -> 12_000;
           default -> 35_000;
         };
     int count =
         switch (kind) {
           case STATE_SLOW -> 5 + r.nextInt(25);
+          case SINGLE_JOBS -> 1 + r.nextInt(3);
           case NONE_WHOLE -> 1 + r.nextInt(nodes - 1);
           default -> 1 + r.nextInt(5);
         };
@@ -269,7 +305,7 @@
 
   /** The same with other faults. */
   public Plan with(List<Fault> f) {
-    return new Plan(seed, nodes, machines, jobs, links, f, gangs, folds, weights);
+    return new Plan(seed, nodes, machines, jobs, links, f, gangs, folds, weights, limits);
   }
 
   /** Reads a file. */
--- a/src/main/java/org/mallowroad/world/RatingModel.java
+++ b/src/main/java/org/mallowroad/world/RatingModel.java
@@ -150,6 +150,30 @@
     return end != null && end.path("end").asText().equals("done");
   }
 
+  /** True for a print while something that it waits for is not on record: it may not start. */
+  boolean holds(String id) {
+    if (!prints.getOrDefault(id, List.of()).stream().allMatch(this::isDone)) {
+      return true;
+    }
+    Long game = upTo.get(id);
+    if (game == null) {
+      return false;
+    }
+    String member = "m-" + game % 7;
+    for (Map.Entry<BlockKey, Block> block : blocks().entrySet()) {
+      for (Map.Entry<Block.Side, Fold> side : block.getValue().sides().entrySet()) {
+        Fold f = side.getValue();
+        boolean awaited =
+            Block.number(block.getKey().index(), side.getKey().game()) <= game
+                && side.getKey().member().equals(member);
+        if (awaited && !f.settled() && f.base() == null && !isDone(f.job())) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   /** A print's task starts: all that it waits for is on record. */
   private void starts(String id) {
     for (String j : prints.getOrDefault(id, List.of())) {
--- a/src/main/java/org/mallowroad/world/StateModel.java
+++ b/src/main/java/org/mallowroad/world/StateModel.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import org.mallowroad.standin.Store;
 import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.Fields;
 import org.mallowroad.wire.Json;
 
 /** The state service: slow, out, or refusing one node, within its limits of calls. */
@@ -21,6 +22,13 @@
   private long secondMs;
   private int calls;
 
+  private long writes;
+
+  /** Puts and deletes asked for so far, those of failed transactions too. */
+  long writes() {
+    return writes;
+  }
+
   /** How many times slower than usual it is. */
   int slow = 1;
 
@@ -98,6 +106,9 @@
     }
     try {
       long before = store.revision();
+      if (target.equals("/multi")) {
+        writes += Json.parseObject(body).path(Fields.WRITES).size();
+      }
       Store.Answer a = store.serve(method, target, body, time.ms());
       if (a == null) {
         long block = Store.block(target);
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -139,6 +139,91 @@
     void got(int status, String standing);
   }
 
+  /** While true users look at all nodes after each thing that they are told. */
+  boolean closeLooks;
+
+  /** A quarter of a user's looks come while the answer to the one before is on its way. */
+  private static final long LOOK_US = 6_000;
+
+  private static final int LOOKS = 3;
+  private static final int CANCEL_ONE_IN = 8;
+
+  /** Questions and repeated submissions at all nodes, some within the same millisecond. */
+  void lookClosely(String id) {
+    if (!closeLooks) {
+      return;
+    }
+    for (SimHost node : nodes) {
+      for (int i = 0; i < LOOKS; i++) {
+        time.after(random.nextLong(LOOK_US << (2 * i)), this, () -> questionAt(node, id));
+      }
+      if (random.nextBoolean()) {
+        time.after(random.nextLong(LOOK_US), this, () -> repeatAt(node, id));
+      }
+    }
+  }
+
+  private void accepted(Checker.Submitted s) {
+    if (closeLooks) {
+      looks++;
+      lookClosely(s.id());
+      if (random.nextInt(CANCEL_ONE_IN) == 0) {
+        time.after(random.nextLong(LOOK_US), this, () -> withdraw(s, time.ms()));
+      }
+    }
+  }
+
+  /** How many jobs were looked at closely right after they were accepted. */
+  int looks() {
+    return looks;
+  }
+
+  private int looks;
+
+  private void questionAt(SimHost node, String id) {
+    long sentMs = time.ms();
+    askAt(
+        node,
+        "GET",
+        "/v1/jobs/" + id,
+        NOTHING,
+        POLL_MS,
+        (status, standing) -> checker.told(id, status, standing, sentMs));
+  }
+
+  private void repeatAt(SimHost node, String id) {
+    long sentMs = time.ms();
+    askAt(
+        node,
+        "POST",
+        "/v1/jobs",
+        Json.bytes(bodies.get(id)),
+        SUBMIT_MS,
+        (status, standing) -> checker.submitted(id, status, standing, sentMs));
+  }
+
+  /** Asks one node, past the load balancer; status 0 stands for no answer. */
+  private void askAt(SimHost node, String method, String target, byte[] body, long ms, Got got) {
+    network.call(
+        this,
+        node,
+        method,
+        target,
+        body,
+        ms,
+        new Caller.Answer() {
+          @Override
+          public void answered(int status, byte[] bytes) {
+            got.got(status, standing(bytes));
+          }
+
+          @Override
+          public void failed(boolean sent) {
+            got.got(0, "");
+          }
+        });
+  }
+
   /** Asks any healthy node; status 0 stands for no answer. */
   private void ask(String method, String target, byte[] body, long ms, int tries, Got got) {
     SimHost node = healthy();
@@ -220,6 +305,7 @@
         (status, standing) -> {
           checker.submitted(s.id(), status, standing, sentMs);
           if (status == 200 || status == 201) {
+            accepted(s);
             poll(s);
           } else if (status == 422) {
             open--; // Never: it is not sent again.
@@ -247,6 +333,7 @@
               (status, standing) -> {
                 checker.told(s.id(), status, standing, sentMs);
                 if (standing.equals("done") || standing.equals("withdrawn")) {
+                  lookClosely(s.id());
                   open--;
                 } else {
                   poll(s);
@@ -268,6 +355,9 @@
           if (status != 404) {
             checker.told(s.id(), status, standing, sentMs);
           }
+          if (status == 200) {
+            lookClosely(s.id());
+          }
           if (status != 200 && time.ms() - sinceMs < PATIENCE_MS) {
             time.after(1_500_000, this, () -> withdraw(s, sinceMs));
           }
--- a/src/main/java/org/mallowroad/world/Waiting.java
+++ b/src/main/java/org/mallowroad/world/Waiting.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -20,9 +21,17 @@
   private final Supplier<List<WorkerModel>> workers;
   private final Map<String, Long> sinceMs = new HashMap<>();
 
-  Waiting(Checker checker, Supplier<List<WorkerModel>> workers) {
+  private final Predicate<String> held;
+
+  /**
+   * Over the machines that there are.
+   *
+   * @param held true for a job that waits for other jobs or games, and not for room
+   */
+  Waiting(Checker checker, Supplier<List<WorkerModel>> workers, Predicate<String> held) {
     this.checker = checker;
     this.workers = workers;
+    this.held = held;
   }
 
   /** Call once a second. */
@@ -34,7 +43,7 @@
     up.removeIf(w -> !w.listens() || w.still() || w.deaf || w.mute);
     for (Map.Entry<Checker.Submitted, Set<Integer>> e : checker.unfinishedJobs().entrySet()) {
       Checker.Submitted s = e.getKey();
-      if (!couldRun(s, e.getValue(), up)) {
+      if (held.test(s.id()) || !couldRun(s, e.getValue(), up)) {
         sinceMs.remove(s.id());
       } else if (now - sinceMs.computeIfAbsent(s.id(), k -> now) > MOST_MS) {
         checker.breach("left_waiting", s.id() + " waits while there is room");
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -12,6 +12,7 @@
 import java.util.function.IntSupplier;
 import java.util.stream.IntStream;
 import org.mallowroad.config.OperatorSettings;
+import org.mallowroad.config.RecordPolicy;
 import org.mallowroad.config.Settings;
 import org.mallowroad.config.Settings.Endpoint;
 import org.mallowroad.config.Settings.Member;
@@ -41,6 +42,16 @@
   private static final long LONG_RUN_MS = 70_000;
   private static final long FETCH_MS = 9_000;
   private static final long WALL_MS = 250;
+
+  /** Close looks while the end of a job is on its way to the records. */
+  private static final int END_LOOKS = 3;
+
+  private static final long END_LOOK_US = 3_000_000;
+  private static final double GUARANTEE_CPUS = 16;
+
+  /** How often it is looked whether another controller leads. */
+  private static final long TERM_LOOK_US = 10_000;
+
   private static final List<String> TEAMS = List.of("red", "green", "blue");
   private static final List<String> CLASSES = List.of("short", "wide", "long");
 
@@ -76,6 +87,9 @@
    * @param usersMs the longest that a user went without an answer about a job
    * @param taken images that came from another machine
    * @param cancelled jobs whose users were told that they are cancelled
+   * @param keptReports reports that were kept for a new leader and reached it
+   * @param looks jobs that users looked at closely once they were accepted
+   * @param writes puts and deletes of the state service, failed ones too
    * @param cancelledStarts tasks that started after their user was told of the cancellation
    * @param goneMs the longest that a task outlasted that word
    * @param recoveryMs the same after all troubles were over
@@ -93,6 +107,9 @@
       long recoveryMs,
       long taken,
       int cancelled,
+      int keptReports,
+      int looks,
+      long writes,
       long cancelledStarts,
       long goneMs,
       long untilMs,
@@ -116,7 +133,7 @@
       return String.format(
           java.util.Locale.ROOT,
           "seed=%d nodes=%d faults=%d started=%d killed=%d terms=%d workers_ms=%d users_ms=%d recovery_ms=%d taken=%d"
-              + " cancelled=%d cancelled_starts=%d gone_ms=%d unfinished=%d least=%.2f until=%d events=%d breaches=%s",
+              + " cancelled=%d kept=%d looks=%d writes=%d cancelled_starts=%d gone_ms=%d unfinished=%d least=%.2f until=%d events=%d breaches=%s",
           plan.seed(),
           plan.nodes(),
           plan.faults().size(),
@@ -128,6 +145,9 @@
           recoveryMs,
           taken,
           cancelled,
+          keptReports,
+          looks,
+          writes,
           cancelledStarts,
           goneMs,
           unfinished,
@@ -144,7 +164,7 @@
     this.random = new SplittableRandom(plan.seed() * 31 + 7);
     this.network = new Network(time, random.split());
     Map<String, Double> limits = new HashMap<>();
-    TEAMS.forEach(t -> limits.put(t, limit(t)));
+    TEAMS.forEach(t -> limits.put(t, plan.limits() * limit(t)));
     this.checker = new Checker(time::ms, limits, (long) (CANCEL_S * 1000));
     this.state = new StateModel(time, random.split(), 400);
     this.cloud = new CloudModel(time, random.split(), Plan.ZONES, plan.machines(), this::worker);
@@ -187,7 +207,7 @@
     plan.faults().forEach(this::schedule);
     plan.faults().stream().filter(f -> f.kind() == Fault.Kind.CANCEL_NOW).forEach(this::victims);
     checker.onCompleted(this::completed);
-    this.waiting = new Waiting(checker, cloud::workers);
+    this.waiting = new Waiting(checker, cloud::workers, id -> ratings != null && ratings.holds(id));
     everySecond();
   }
 
@@ -211,6 +231,48 @@
         });
   }
 
+  private long term() {
+    com.fasterxml.jackson.databind.JsonNode term = state.store().value("term");
+    return term == null ? 0 : term.path("n").asLong() / Term.TOKENS;
+  }
+
+  /** Kept reports reach every controller as soon as another one leads than before. */
+  private void releaseAtNextTerm(long before, boolean[] over) {
+    long term = term();
+    if (term > before) {
+      keptReports += network.releaseKept();
+    }
+    if (!over[0]) {
+      time.after(TERM_LOOK_US, null, () -> releaseAtNextTerm(term, over));
+    }
+  }
+
+  /** Reports that were kept for a new leader and reached it. */
+  private int keptReports;
+
+  /** One-task jobs as long as it lasts, a quarter of them cancelled. */
+  private void singleJobs(int aSecond, boolean[] over) {
+    if (over[0]) {
+      return;
+    }
+    Checker.Submitted s =
+        new Checker.Submitted(
+            String.format("job-4%05d", singles++),
+            TEAMS.get(singles % TEAMS.size()),
+            "single",
+            1,
+            1,
+            null,
+            false,
+            false,
+            time.ms());
+    long cancelAfterMs = random.nextInt(4) == 0 ? 100 + random.nextLong(4_000) : 0;
+    users.job(s, "urgent", 1_000 + random.nextLong(4_000), 300, cancelAfterMs, null);
+    time.after(1_000_000 / aSecond, null, () -> singleJobs(aSecond, over));
+  }
+
+  private int singles;
+
   private WorkerModel worker(String[] nameAndZone) {
     int index = directory.size();
     WorkerModel w =
@@ -240,7 +302,11 @@
       }
     }
     List<TeamSetting> teams = new ArrayList<>();
-    TEAMS.forEach(t -> teams.add(new TeamSetting(t, 16, 0, limit(t), 0)));
+    TEAMS.forEach(
+        t ->
+            teams.add(
+                new TeamSetting(
+                    t, plan.limits() * GUARANTEE_CPUS, 0, plan.limits() * limit(t), 0)));
     return new Settings(
         "n" + i,
         Plan.ZONES.get(i % Plan.ZONES.size()),
@@ -266,8 +332,18 @@
         plan.nodes());
   }
 
+  /** In a third of the histories none does, in a third all do, in the others every other node. */
+  private static boolean sharesStarts(long seed, int node) {
+    return switch (Math.floorMod(seed, 3)) {
+      case 0 -> false;
+      case 1 -> true;
+      default -> node % 2 == 0;
+    };
+  }
+
   private void begin(int i) {
-    OperatorSettings o = OperatorSettings.defaults();
+    OperatorSettings o =
+        OperatorSettings.defaults().with(new RecordPolicy(sharesStarts(plan.seed(), i)));
     try {
       SimHost h = hosts.get(i);
       Node n = new Node(new Site(settings(i), plan.links() ? o.with(LinkPolicy.defaults()) : o), h);
@@ -530,6 +606,36 @@
         network.copyOneIn = 1 + f.count();
         yield () -> network.copyOneIn = 0;
       }
+      case LATE_COMMANDS -> {
+        network.lateCommandOneIn = 2 + f.count();
+        yield () -> network.lateCommandOneIn = 0;
+      }
+      case ANSWERS_LOST -> {
+        network.lostAnswerOneIn = 2 + f.count();
+        yield () -> network.lostAnswerOneIn = 0;
+      }
+      case REPORTS_FOR_NEXT -> {
+        network.keepReportOneIn = 1 + f.count();
+        boolean[] over = new boolean[1];
+        releaseAtNextTerm(term(), over);
+        yield () -> {
+          network.keepReportOneIn = 0;
+          over[0] = true;
+        };
+      }
+      case CLOSE_LOOKS -> {
+        users.closeLooks = true;
+        yield () -> users.closeLooks = false;
+      }
+      case QUICK_BOOTS -> {
+        cloud.quickBoots = true;
+        yield () -> cloud.quickBoots = false;
+      }
+      case SINGLE_JOBS -> {
+        boolean[] over = new boolean[1];
+        singleJobs(f.count(), over);
+        yield () -> over[0] = true;
+      }
     };
   }
 
@@ -578,6 +684,9 @@
   }
 
   private void completed(String id) {
+    for (int i = 0; i < END_LOOKS && users.closeLooks; i++) {
+      time.after(random.nextLong(END_LOOK_US), null, () -> users.lookClosely(id));
+    }
     if (atEndOneIn > 0 && random.nextInt(atEndOneIn) == 0) {
       // Around the moment at which the end is committed, and each of them at its own.
       time.after(random.nextLong(1_500_000), null, () -> users.cancel(id));
@@ -674,6 +783,11 @@
     return () -> hung.forEach(time::thaw);
   }
 
+  /** Lets a faulty service answer users, for tests of what the checker sees. */
+  void filterAnswers(Network.AnswerFilter filter) {
+    network.filter = filter;
+  }
+
   /** Plays it to its end. */
   public Result play() {
     long lastFault = 0;
@@ -693,7 +807,6 @@
       ratings.end();
     }
     checker.end(SERVED_MS);
-    com.fasterxml.jackson.databind.JsonNode term = state.store().value("term");
     return new Result(
         plan,
         checker.breaches(),
@@ -701,12 +814,15 @@
         checker.unfinished(),
         checker.started(),
         checker.killed(),
-        term == null ? 0 : term.path("n").asLong() / Term.TOKENS,
+        term(),
         cloud.workers().stream().mapToLong(WorkerModel::longestMs).max().orElse(0),
         checker.longestMs(),
         checker.recoveryMs(),
         cloud.taken(),
         checker.cancelled(),
+        keptReports,
+        users.looks(),
+        state.writes(),
         checker.cancelledStarts(),
         checker.goneMs(),
         time.ms(),
--- a/src/test/java/org/mallowroad/Clockwork.java
+++ b/src/test/java/org/mallowroad/Clockwork.java
@@ -25,6 +25,12 @@
   /** Transactions are done, and nobody hears of it. */
   public boolean loseAnswers;
 
+  /** So many transactions are done next of which nobody hears. */
+  public int loseNext;
+
+  /** Puts and deletes that were asked for. */
+  public int writes;
+
   /** While above the time, each call gets 429. */
   public long crowdedUntilMs;
 
@@ -100,6 +106,14 @@
       after(1, () -> serve(method, path, body, timeoutMs, answer));
     }
 
+    private static int writes(byte[] body) {
+      try {
+        return Json.parseObject(body).path("writes").size();
+      } catch (BadMessage e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
     private void serve(String method, String path, byte[] body, long timeoutMs, Answer answer) {
       calls++;
       boolean multi = path.equals("/multi");
@@ -109,13 +123,14 @@
       }
       if (multi) {
         beforeMulti.run();
+        writes += writes(body);
       }
       try {
         Store.Answer a = store.serve(method, path, body == null ? new byte[0] : body, now);
         if (a == null) {
           // A watch that waits: asked again until something has changed.
           after(50, () -> serve(method, path, body, timeoutMs - 50, answer));
-        } else if (loseAnswers && multi) {
+        } else if (multi && (loseAnswers || loseNext-- > 0)) {
           after(timeoutMs, () -> answer.failed(true));
         } else {
           if (firstFailureOnly && a.status() == 409) {
--- a/src/test/java/org/mallowroad/api/OpenJobsTest.java
+++ b/src/test/java/org/mallowroad/api/OpenJobsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
 import org.mallowroad.Clockwork;
+import org.mallowroad.core.Specs;
 import org.mallowroad.net.Budget;
 import org.mallowroad.state.StateStore;
 import org.mallowroad.wire.BadMessage;
@@ -85,7 +86,7 @@
       if (s.has("bad")) {
         throw new BadMessage("bad: not a field");
       }
-      return null;
+      return Specs.array(s.path("name_id").asText(), 1, 1).build();
     }
 
     @Override
@@ -226,6 +227,40 @@
               List<String> said = h.said();
               assertTrue(said.contains(id(7) + " done"), said.toString());
             }),
+        rule(
+            "a submission that is repeated costs no write, whatever has become of its job",
+            h -> {
+              h.accepted(id(1));
+              h.accepted(id(2));
+              h.ends(id(2));
+              int before = h.c.writes;
+              for (int n = 1; n <= 2; n++) {
+                h.submit("{\"name_id\":\"" + id(n) + "\"}");
+                h.run(100);
+              }
+              assertEquals(List.of("submit done", "submit queued"), h.said());
+              assertEquals(0, h.c.writes - before);
+              h.submit("{\"name_id\":\"" + id(3) + "\"}");
+              h.run(100);
+              assertEquals(List.of("submit 201"), h.said());
+              assertEquals(1, h.c.writes - before);
+            }),
+        rule(
+            "thirty jobs that the node has never heard of cost a handful of calls",
+            h -> {
+              for (int i = 0; i < 30; i += 2) {
+                h.accepted(id(i));
+              }
+              int before = h.c.calls;
+              for (int i = 0; i < 30; i++) {
+                h.ask(id(i));
+              }
+              h.run(1_500);
+              List<String> said = h.said();
+              assertEquals(15, said.stream().filter(s -> s.endsWith("queued")).count());
+              assertEquals(15, said.stream().filter(s -> s.endsWith("404")).count());
+              assertTrue(h.c.calls - before <= 12, "calls: " + (h.c.calls - before));
+            }),
         rule(
             "nobody's job is nobody's, and a service that is crowded says nothing",
             h -> {
--- a/src/test/java/org/mallowroad/controller/CommitterTest.java
+++ b/src/test/java/org/mallowroad/controller/CommitterTest.java
@@ -113,6 +113,107 @@
     assertEquals(432, recorded(others) + recorded(idle));
   }
 
+  /** Twenty starts of small jobs in one write; their ends in two each and one more for all. */
+  @Test
+  void smallJobsShareARecordOfTheirStarts() {
+    ledger.sharedRecords().enable();
+    List<Attempt> all = startMany(20);
+    int before = c.writes;
+    committer.kick();
+    c.run(100);
+    assertEquals(20, recorded(all));
+    assertEquals(1, c.writes - before);
+    assertEquals(1, c.store.keys("starts/").size());
+    assertEquals(0, c.store.keys("run/").size());
+    all.forEach(a -> ledger.resolve(a, Ledger.Outcome.DONE, c.now));
+    c.run(1_000);
+    committer.kick();
+    c.run(20_000);
+    assertEquals(List.of(), List.copyOf(c.store.keys("starts/")));
+    assertEquals(List.of(), List.copyOf(c.store.keys("open/")));
+    assertEquals(1 + 2 * 20 + 1, c.writes - before);
+    assertEquals(0, ledger.jobs().size());
+    assertEquals(0, ledger.sharedRecords().all().size());
+  }
+
+  /** One of them is cancelled before its start is recorded: the others' are recorded. */
+  @Test
+  void aJobThatIsOverKeepsNoOtherFromTheSharedRecord() {
+    ledger.sharedRecords().enable();
+    List<Attempt> all = startMany(5);
+    cancelFirst();
+    committer.kick();
+    c.run(1_000);
+    assertEquals(4, recorded(all));
+    assertEquals(Attempt.Phase.GONE, all.get(0).phase);
+    assertEquals(List.of("job-11", "job-12", "job-13", "job-14"), sharedJobs());
+  }
+
+  /** What a next leader would have to wait for is taken out of the record. */
+  @Test
+  void aCancelledJobOfWhichNothingIsLeftIsNotListedAnyMore() {
+    ledger.sharedRecords().enable();
+    List<Attempt> all = startMany(3);
+    committer.kick();
+    c.run(100);
+    cancelFirst();
+    committer.cancelled(all.get(0).job);
+    ledger.resolve(all.get(0), Ledger.Outcome.STOPPED, c.now);
+    committer.kick();
+    c.run(10_000);
+    committer.kick();
+    c.run(10_000);
+    assertEquals(List.of("job-11", "job-12"), sharedJobs());
+  }
+
+  /**
+   * The answer to the commit is lost: the copy finds its own value, and nothing is written anew.
+   */
+  @Test
+  void aCommitWhoseAnswerIsLostIsFoundAndNotWrittenOnceMore() {
+    for (boolean shared : new boolean[] {false, true}) {
+      if (shared) {
+        ledger.sharedRecords().enable();
+      }
+      List<Attempt> all = startMany(shared ? 3 : 1);
+      int before = c.writes;
+      c.loseNext = 1;
+      committer.kick();
+      c.run(600);
+      assertEquals(all.size(), recorded(all));
+      assertEquals(2, c.writes - before);
+    }
+  }
+
+  private int groups;
+
+  /** Jobs of one task each; those of the first call are job-10, job-11 and so on. */
+  private List<Attempt> startMany(int count) {
+    groups++;
+    List<Attempt> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(start("job-" + groups + i, 1));
+    }
+    return all;
+  }
+
+  private void cancelFirst() {
+    c.serve(
+        "POST",
+        "/multi",
+        "{\"writes\":[{\"delete\":\"open/job-10\"},"
+            + "{\"put\":\"end/job-10\",\"v\":{\"end\":\"withdrawn\"}}]}");
+  }
+
+  private List<String> sharedJobs() {
+    List<String> out = new ArrayList<>();
+    for (String key : c.store.keys("starts/")) {
+      c.store.value(key).fieldNames().forEachRemaining(out::add);
+    }
+    out.sort(null);
+    return out;
+  }
+
   private static long recorded(List<Attempt> of) {
     return of.stream().filter(a -> a.phase == Attempt.Phase.READY).count();
   }
--- a/src/test/java/org/mallowroad/controller/KeptTest.java
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -128,7 +128,7 @@
         }
         if (n % 2 == 1) {
           assertTrue(job.allDone());
-          ledger.ended(job);
+          ledger.ended(job, now);
         }
         assertTrue(job.finished());
         Specs.commit(ledger, now);
@@ -153,6 +153,8 @@
             0,
             "outbox",
             0,
+            "shared",
+            0,
             "ending",
             0,
             "watched",
--- a/src/test/java/org/mallowroad/core/ExplainTest.java
+++ b/src/test/java/org/mallowroad/core/ExplainTest.java
@@ -434,7 +434,7 @@
               assertEquals(false, w.sketch.step(1));
               Job gone = w.ledger.job("job-4");
               w.ledger.withdraw(gone, w.now);
-              w.ledger.ended(gone);
+              w.ledger.ended(gone, w.now);
               w.ledger.forget(gone);
               while (!w.sketch.step(1)) {
                 assertTrue(w.sketch.jobs().size() < 5);
--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -97,6 +97,20 @@
               w.ledger.start(w.job("job-1", 1, 1), 0, m, w.now);
               assertEquals(List.of(), w.report(m, 1, TERM));
             }),
+        rule(
+            "a job that was found done, and was placed again by an older list, starts nothing",
+            w -> {
+              Machine m = w.machine("n-1", 0);
+              Job j = w.job("job-1", 2, 1);
+              Attempt recording = w.ledger.start(j, 0, m, w.now);
+              w.ledger.ended(j, w.now);
+              assertEquals(Attempt.Phase.GONE, recording.phase);
+              assertTrue(j.finished());
+              assertEquals(List.of(), w.report(m, 1, TERM));
+              Attempt launched = w.start(w.job("job-2", 1, 1), 0, m);
+              w.ledger.ended(launched.job, w.now);
+              assertTrue(launched.stopping());
+            }),
         rule(
             "a lost launch is sent again as the same attempt",
             w -> {
--- a/src/test/java/org/mallowroad/world/MeetingsTest.java
+++ b/src/test/java/org/mallowroad/world/MeetingsTest.java
@@ -50,6 +50,11 @@
     return seed -> new Plan(seed, 3, 3, 60, true, List.of(faults));
   }
 
+  /** All teams at half of their limits, more work than they admit at once. */
+  private static Function<Long, Plan> tight(Fault... faults) {
+    return seed -> new Plan(seed, 3, 10, 16, true, List.of(faults), 0, 0, 0, 0.5);
+  }
+
   private static World.Result play(Plan plan) {
     try {
       return new World(plan).play();
@@ -351,4 +356,228 @@
                 odd),
             r -> r.unfinished() == 0));
   }
+
+  private static Predicate<World.Result> looks(int jobs) {
+    return r -> r.looks() >= jobs;
+  }
+
+  private static Predicate<World.Result> kept(int reports) {
+    return r -> r.keptReports() >= reports;
+  }
+
+  /** Users look at all nodes after each accept, end and cancellation, whatever else happens. */
+  @TestFactory
+  Stream<DynamicTest> closeLooks() {
+    Fault looks = fault(Kind.CLOSE_LOOKS, 1_000, 110_000, 0, 1);
+    Fault atEnd = fault(Kind.CANCEL_AT_END, 3_000, 90_000, 0, 1);
+    return Stream.of(
+        row("close looks, no other trouble", of(looks, atEnd), looks(20)),
+        row("close looks, without ways round cuts", withoutLinks(looks, atEnd), looks(20)),
+        row(
+            "close looks while the state service refuses one node, then the next",
+            of(
+                looks,
+                atEnd,
+                fault(Kind.STATE_REFUSES, 15_000, 15_000),
+                fault(Kind.STATE_REFUSES, 32_000, 15_000, Plan.FOLLOWER, 1),
+                cancel(33_000)),
+            looks(15).and(cancelled(6))),
+        row(
+            "close looks through changes of leader and a standstill",
+            of(
+                looks,
+                atEnd,
+                fault(Kind.BACK_LEADERS, 20_000, 30_000),
+                fault(Kind.FREEZE, 52_000, 9_000),
+                cancel(51_500)),
+            looks(15).and(terms(3))),
+        row(
+            "close looks while no controller reaches another",
+            of(looks, atEnd, fault(Kind.PEERS_REFUSED, 10_000, 60_000), cancel(30_000)),
+            looks(15).and(cancelled(6))),
+        row(
+            "close looks, the state service slow, refusing the leader, then out for longer than"
+                + " cancel_s",
+            of(
+                looks,
+                atEnd,
+                fault(Kind.STATE_SLOW, 15_000, 60_000, 0, 25),
+                fault(Kind.STATE_REFUSES, 28_000, 14_000),
+                cancel(29_000),
+                fault(Kind.STATE_OUT, 34_000, 32_000)),
+            looks(10).and(cancelled(4))));
+  }
+
+  /** Transactions that are carried out while only their answers are lost. */
+  @TestFactory
+  Stream<DynamicTest> lostAnswers() {
+    Fault looks = fault(Kind.CLOSE_LOOKS, 1_000, 110_000, 0, 1);
+    Fault atEnd = fault(Kind.CANCEL_AT_END, 3_000, 90_000, 0, 1);
+    Fault everySecond = fault(Kind.ANSWERS_LOST, 5_000, 80_000, 0, 0);
+    return Stream.of(
+        row(
+            "answers of transactions lost while others read what they wrote",
+            of(looks, atEnd, everySecond, cancel(30_000)),
+            looks(15).and(cancelled(6))),
+        row(
+            "answers lost, and the leader ends",
+            of(
+                looks,
+                atEnd,
+                everySecond,
+                cancel(29_500),
+                fault(Kind.CRASH, 30_000, 3_000),
+                fault(Kind.CRASH, 50_000, 3_000)),
+            terms(2).and(looks(10))),
+        row(
+            "answers lost, other transactions late, leaders back at once",
+            of(
+                looks,
+                everySecond,
+                fault(Kind.LATE_WRITES, 5_000, 80_000, 0, 2),
+                fault(Kind.BACK_LEADERS, 25_000, 30_000)),
+            terms(3)));
+  }
+
+  /** Teams at their limits, jobs cancelled whose machines cannot be asked, changes of leader. */
+  @TestFactory
+  Stream<DynamicTest> atTheLimits() {
+    return Stream.of(
+        row(
+            "all teams at their limits, machines of cancelled jobs hang, and the leader ends",
+            tight(cancelAndHang(40_000, 11_000), fault(Kind.CRASH, 40_400, 3_000)),
+            cancelled(4).and(terms(2))),
+        row(
+            "all teams at their limits, a zone cut, jobs cancelled, two changes of leader",
+            tight(
+                fault(Kind.CUT_ZONE, 38_000, 20_000),
+                cancel(39_000),
+                fault(Kind.CRASH, 40_000, 3_000),
+                fault(Kind.CRASH, 60_000, 3_000)),
+            cancelled(4).and(terms(3))),
+        row(
+            "all teams at their limits, machines unreachable, commands late, the leader stands"
+                + " still",
+            tight(
+                fault(Kind.LATE_COMMANDS, 5_000, 80_000, 0, 0),
+                fault(Kind.DEAF, 36_000, 25_000, 0, 4),
+                cancel(40_000),
+                fault(Kind.FREEZE, 40_200, 15_000)),
+            cancelled(4).and(terms(2))));
+  }
+
+  /** Work changes hands while jobs are cancelled. */
+  @TestFactory
+  Stream<DynamicTest> handOvers() {
+    return Stream.of(
+        row(
+            "cancelled in the second in which the leader ends",
+            seed -> of(cancel(29_800), fault(Kind.CRASH, 29_600 + 150 * seed, 3_000)).apply(seed),
+            cancelled(6).and(terms(2))),
+        row(
+            "cancelled in the second in which the leader stands still, with orders under way",
+            seed ->
+                of(
+                        fault(Kind.LATE_COMMANDS, 10_000, 60_000, 0, 0),
+                        cancel(29_800),
+                        fault(Kind.FREEZE, 29_600 + 150 * seed, 15_000))
+                    .apply(seed),
+            cancelled(6).and(terms(2))),
+        row(
+            "cancelled while the leader loses state and peers, with its records under way",
+            seed ->
+                of(
+                        fault(Kind.ANSWERS_LOST, 20_000, 30_000, 0, 0),
+                        fault(Kind.WORKERS_ONLY, 29_600 + 150 * seed, 30_000),
+                        cancel(29_800))
+                    .apply(seed),
+            cancelled(6).and(terms(2))),
+        row(
+            "cancelled in a roll of all controllers",
+            of(fault(Kind.ROLL, 27_000, 20_000), cancel(29_800), cancel(33_000)),
+            cancelled(8).and(terms(2))));
+  }
+
+  /** Old commands and reports that reach a new leader's machines, or the new leader. */
+  @TestFactory
+  Stream<DynamicTest> oldMessages() {
+    return Stream.of(
+        row(
+            "old reports reach every controller as a new leader begins",
+            of(
+                fault(Kind.REPORTS_FOR_NEXT, 5_000, 80_000, 0, 0),
+                fault(Kind.HANG, 22_000, 18_000, 0, 4),
+                cancel(29_500),
+                fault(Kind.CRASH, 30_000, 3_000),
+                fault(Kind.CRASH, 52_000, 3_000)),
+            terms(3).and(kept(40))),
+        row(
+            "the same, leaders changing ten times",
+            of(
+                fault(Kind.REPORTS_FOR_NEXT, 5_000, 100_000, 0, 0),
+                fault(Kind.BACK_LEADERS, 12_000, 100_000)),
+            terms(8).and(kept(40))),
+        row(
+            "commands held up and carried out once, after the next leader's",
+            of(
+                fault(Kind.LATE_COMMANDS, 5_000, 90_000, 0, 0),
+                fault(Kind.LATE_REPORTS, 5_000, 90_000, 0, 2),
+                cancel(29_800),
+                fault(Kind.CRASH, 30_000, 3_000),
+                fault(Kind.FREEZE, 50_000, 9_000)),
+            cancelled(6).and(terms(3))),
+        row(
+            "commands held up while sessions end",
+            of(
+                fault(Kind.LATE_COMMANDS, 5_000, 90_000, 0, 0),
+                fault(Kind.HANG, 25_000, 18_000, 0, 6),
+                fault(Kind.DEAF, 45_000, 20_000, 0, 4),
+                cancel(26_000)),
+            cancelled(6).and(killed())),
+        row(
+            "machines up within two seconds get work at once, writes lag, and the leader ends",
+            of(
+                fault(Kind.QUICK_BOOTS, 1_000, 100_000, 0, 1),
+                fault(Kind.STATE_SLOW, 8_000, 40_000, 0, 25),
+                fault(Kind.DIE, 20_000, 1_000, 0, 6),
+                fault(Kind.CRASH, 21_500, 3_000),
+                fault(Kind.DIE, 34_000, 1_000, 0, 6),
+                fault(Kind.CRASH, 35_500, 3_000)),
+            terms(3)),
+        row(
+            "the same, transactions late, the cloud's lists behind",
+            of(
+                fault(Kind.QUICK_BOOTS, 1_000, 100_000, 0, 1),
+                fault(Kind.LATE_WRITES, 8_000, 60_000, 0, 1),
+                fault(Kind.DIE, 20_000, 1_000, 0, 8),
+                fault(Kind.BACK_LEADERS, 20_500, 20_000),
+                cancel(30_000)),
+            terms(3).and(cancelled(4))));
+  }
+
+  /** One-task jobs as fast as the users' page has them. */
+  @TestFactory
+  Stream<DynamicTest> singleJobs() {
+    Fault singles = fault(Kind.SINGLE_JOBS, 8_000, 40_000, 0, 4);
+    return Stream.of(
+        row(
+            "one-task jobs four a second, a quarter cancelled",
+            of(singles, fault(Kind.CANCEL_AT_END, 3_000, 90_000, 0, 4)),
+            cancelled(25)),
+        row(
+            "the same, and two leaders end",
+            of(
+                singles,
+                fault(Kind.CRASH, 20_000, 3_000),
+                fault(Kind.CRASH, 35_000, 3_000),
+                fault(Kind.CANCEL_AT_END, 3_000, 90_000, 0, 4)),
+            cancelled(25).and(terms(3))),
+        row(
+            "the same, answers lost, and an outage of ten seconds",
+            of(
+                singles,
+                fault(Kind.ANSWERS_LOST, 5_000, 60_000, 0, 1),
+                fault(Kind.STATE_OUT, 25_000, 10_000)),
+            cancelled(20)));
+  }
 }
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -198,6 +199,26 @@
     assertEquals(plan, Plan.load(f.toString()));
   }
 
+  /** One node answers what it answered a moment ago: users who look closely at all nodes see it. */
+  @Test
+  void anAnswerThatIsOlderThanAnotherNodesIsSeen() throws IOException {
+    Fault looks = new Fault(Fault.Kind.CLOSE_LOOKS, 1_000, 100_000, 0, 0, "a", "", 0, 1);
+    Fault atEnd = new Fault(Fault.Kind.CANCEL_AT_END, 1_000, 100_000, 0, 0, "a", "", 0, 1);
+    World world = new World(new Plan(3, 3, 10, 24, true, List.of(looks, atEnd)));
+    Map<String, byte[]> before = new HashMap<>();
+    world.filterAnswers(
+        (from, target, body) -> {
+          if (from.index != 1 || target.equals("/v1/jobs")) {
+            return body;
+          }
+          byte[] older = before.put(target, body);
+          return older == null ? body : older;
+        });
+    assertEquals(
+        List.of("went_back"),
+        world.play().breaches().stream().map(Checker.Breach::rule).distinct().toList());
+  }
+
   /** A history told by hand, with the clock in hand. */
   private static final class Told {
     private long now;
@@ -478,7 +499,7 @@
     t.checker.submits(
         new Checker.Submitted("job-2", team, "c", tasks, cpus, zone, gang, gang, t.now));
     t.checker.submitted("job-2", 201, "queued", t.now);
-    Waiting w = new Waiting(t.checker, () -> up);
+    Waiting w = new Waiting(t.checker, () -> up, id -> false);
     for (t.now = 0; t.now <= 5_000 + ms; t.now += 1_000) {
       w.look(t.now, 5_000);
     }
