New jobs are turned away while records lag; retries and cancellations cannot take all calls

Submissions refused for the limits were sent five times each, cancellations of jobs that were never accepted took two calls each, and questions waited behind them (a job without an answer for 99 s in the world). Change: core.admission (RecordLag at the leader, Admission at every node, /overloaded between them), a budget for retries, cancellations ask first, many at a time; the world's state service has a limit of writes. Spending counts machines that there are: its idle money is not below 0 any more.

--- a/src/main/java/org/mallowroad/api/JobLookup.java
+++ b/src/main/java/org/mallowroad/api/JobLookup.java
@@ -161,16 +161,29 @@
     x.answer(503, Reply.reason("state service not reached"), true);
   }
 
-  /** Reads open, then end: a job moves from the first to the second, so it is never missed. */
+  /**
+   * Reads what is on record of a job. Whether there is anything is asked together with others:
+   * users who cancel jobs that were never accepted, again and again, would take all calls
+   * otherwise.
+   */
   void read(String id, RecordListener reader) {
     if (ends.containsKey(id)) {
       reader.over(ends.getBoolean(id));
       return;
     }
-    // Users' reads leave room for the leader's renewals and commits, however many users ask.
-    reads.take(2, () -> readOpen(id, reader), reader::failed);
+    openJobs.ask(
+        id,
+        (status, job) -> {
+          switch (status) {
+            case OPEN -> reads.take(2, () -> readOpen(id, reader), reader::failed);
+            case OVER -> reads.take(1, () -> readEnd(id, reader), reader::failed);
+            case ABSENT -> reader.absent();
+            default -> reader.failed();
+          }
+        });
   }
 
+  /** Open, then end: a job moves from the first to the second, so it is never missed. */
   private void readOpen(String id, RecordListener reader) {
     state.get(
         Records.open(id),
--- a/src/main/java/org/mallowroad/api/Submissions.java
+++ b/src/main/java/org/mallowroad/api/Submissions.java
@@ -27,8 +27,13 @@
 
   private static final int MOST_RETRIES = 4;
 
-  /** Submissions that wait to be sent again; more are turned away at once. */
-  private static final int MOST_WAITING = 64;
+  /**
+   * Calls of submissions that are sent again, as a part of all that this node may make for users,
+   * and at once. Without a bound a service that is overloaded would get five calls for each.
+   */
+  private static final double RETRY_SHARE = 0.25;
+
+  private static final double RETRY_BURST = 12;
 
   /** A value may be as long as the limit less what surrounds it. */
   private static final int ENVELOPE_BYTES = 64;
@@ -41,7 +46,7 @@
   private final Budget writes;
   private final Budget fairWrites;
   private final double valueKb;
-  private int waiting;
+  private final Budget retries;
 
   Submissions(
       Loop loop,
@@ -51,7 +56,10 @@
       UserApi.Jobs jobs,
       Budget writes,
       Budget fairWrites,
-      double valueKb) {
+      double valueKb,
+      double callsPerSecond) {
+    this.retries =
+        loop == null ? null : new Budget(RETRY_SHARE * callsPerSecond, RETRY_BURST, loop.now());
     this.loop = loop;
     this.state = state;
     this.lookup = lookup;
@@ -133,7 +141,7 @@
   }
 
   private void record(Answerer x, Parsed parsed) {
-    if (!mayWrite()) {
+    if (!jobs.admits() || !mayWrite()) {
       x.answer(429, Reply.reason("too many submissions"), true);
       return;
     }
@@ -173,7 +181,7 @@
     return o;
   }
 
-  private void accept(Answerer x, String id, ObjectNode value, int retries) {
+  private void accept(Answerer x, String id, ObjectNode value, int tries) {
     long sentMs = loop.now();
     Txn txn =
         new Txn().given(Records.open(id), 0).given(Records.end(id), 0).put(Records.open(id), value);
@@ -185,17 +193,11 @@
         (result, revision, failed) -> {
           if (result == Result.NOT_DONE
               && state.crowdedMs() >= sentMs
-              && retries < MOST_RETRIES
-              && waiting < MOST_WAITING) {
+              && tries < MOST_RETRIES
+              && retries.take(1, loop.now())) {
             // Refused for the service's limits: a moment later there is room, and a user who is
             // turned away comes back no sooner than after a second.
-            waiting++;
-            loop.after(
-                RETRY_MS,
-                () -> {
-                  waiting--;
-                  accept(x, id, value, retries + 1);
-                });
+            loop.after(RETRY_MS, () -> accept(x, id, value, tries + 1));
             return;
           }
           switch (result) {
--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -30,6 +30,11 @@
     /** True once the machine types are known. */
     boolean ready();
 
+    /** True when a job that is not known yet may be accepted now. */
+    default boolean admits() {
+      return true;
+    }
+
     /** Why the job can never run, or null. */
     String hopeless(JobSpec spec);
 
@@ -37,7 +42,12 @@
     int[] counts(String id);
   }
 
-  /** Over the state service. */
+  /**
+   * Over the state service.
+   *
+   * @param reads calls to the state service that this node may make for users
+   * @param burst how many of them a second
+   */
   public UserApi(
       Loop loop,
       StateStore state,
@@ -53,7 +63,7 @@
     this.lookup = new JobLookup(loop, state, users, burst, jobs, mostConditions, mostEnds);
     this.folding = new Folding(loop, state, writes, mostConditions / 4, valueKb, lookup::fate);
     this.submissions =
-        new Submissions(loop, state, lookup, folding, jobs, writes, fairWrites, valueKb);
+        new Submissions(loop, state, lookup, folding, jobs, writes, fairWrites, valueKb, burst);
     this.cancelRequests = new CancelRequests(loop, state, lookup, writes);
   }
 
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -19,6 +19,7 @@
 import org.mallowroad.core.Served;
 import org.mallowroad.core.Spending;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.admission.RecordLag;
 import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.core.health.Health;
 import org.mallowroad.election.Election;
@@ -45,6 +46,7 @@
   private static final long PASS_MS = 40;
 
   private static final long TICK_MS = 250;
+  private static final long LAG_MS = 1_000;
   private static final long LOAD_MS = 10_000;
   private static final long SERVED_MS = 60_000;
   private static final int FEW_MACHINES = 8;
@@ -67,11 +69,10 @@
   private final Committer committer;
   private final FleetManager fleet;
   private final FailureResponder responder;
-  private final Consumer<Job> onEnd;
+  private final Listener listener;
   private final IntSupplier peersNear;
   private final long startedMs;
   private final CancellationView view;
-  private final Runnable onRead;
   private final List<Loop.Timer> duties = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
   private final WorkerClient workers;
@@ -86,6 +87,7 @@
   private long passEndedNs;
   private long passNs;
   private final List<Runnable> afterPass = new ArrayList<>();
+  private final RecordLag recordLag = new RecordLag();
   private final Load load = new Load();
   private final Served served;
   private final WriteShare share;
@@ -93,6 +95,18 @@
   private final HoldKeeper holds;
   private final FoldKeeper folds;
 
+  /** What a leader tells its node. */
+  interface Listener {
+    /** The records of the term before are read, and what they demanded is written. */
+    void recordsRead();
+
+    /** There is more to record than the state service takes; told once a second. */
+    void overloaded();
+
+    /** A job's end as done is recorded. */
+    void ended(Job job);
+  }
+
   Leader(
       Loop loop,
       StateStore state,
@@ -104,16 +118,14 @@
       WorkerClient workers,
       Folding folding,
       IntSupplier peersNear,
-      Runnable onRead,
-      Consumer<Job> onEnd) {
+      Listener listener) {
     this.loop = loop;
     this.state = state;
     this.site = site;
     this.election = election;
     this.term = term;
-    this.onEnd = onEnd;
+    this.listener = listener;
     this.peersNear = peersNear;
-    this.onRead = onRead;
     this.served = new Served(site.classes, site.teams());
     this.workers = workers;
     this.startedMs = loop.now();
@@ -195,7 +207,7 @@
                       job.spec.cpus(),
                       job.spec.estimateS());
                   served.done(job);
-                  onEnd.accept(job);
+                  listener.ended(job);
                 }
               }
             });
@@ -338,7 +350,7 @@
         (long) (site.settings.leaseS() * 1000),
         () -> {
           if (!stopped) {
-            onRead.run();
+            listener.recordsRead();
           }
         });
     holds.begin();
@@ -355,6 +367,7 @@
     early.take(loop, this::take, this::report);
     load.tickedMs = loop.now();
     duties.add(loop.every(TICK_MS, this::tick));
+    duties.add(loop.every(LAG_MS, this::lookAtLag));
     duties.add(loop.every(LOAD_MS, load::log));
     duties.add(loop.every(SERVED_MS, this::tellServed));
   }
@@ -365,6 +378,17 @@
 
   // The ordinary course.
 
+  private void lookAtLag() {
+    boolean before = recordLag.overloaded();
+    recordLag.look(ledger, loop.now());
+    if (recordLag.overloaded()) {
+      listener.overloaded();
+    }
+    if (recordLag.overloaded() != before) {
+      LOG.warn("event={} term={}", before ? "records_keep_up" : "records_lag", term);
+    }
+  }
+
   private void tick() {
     long now = loop.now();
     share.turn(now);
@@ -647,17 +671,17 @@
       if (ledger.started() > 0) {
         LOG.info("event=fetches {}", ledger.stages().figures());
       }
-      for (Spending.Kind k : ledger.spending().kinds()) {
+      for (Spending.Line l : ledger.spending().lines(ledger.machines(), loop.now())) {
         LOG.info(
             "event=spending type={} spot={} machines={} boot={} idle={} starting={} useful={} lost={}",
-            k.type,
-            k.spot,
-            k.machines(),
-            round(k.boot()),
-            round(k.idle()),
-            round(k.starting()),
-            round(k.useful()),
-            round(k.lost()));
+            l.type(),
+            l.spot(),
+            l.machinesGone(),
+            round(l.boot()),
+            round(l.idle()),
+            round(l.starting()),
+            round(l.useful()),
+            round(l.lost()));
       }
       site.keepNames(ledger);
       lastLagMs = lagMs;
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -22,6 +22,7 @@
 import org.mallowroad.core.Job;
 import org.mallowroad.core.JobSpec;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.core.admission.Admission;
 import org.mallowroad.core.cancel.CancellationView;
 import org.mallowroad.core.explain.JobPicture;
 import org.mallowroad.core.explain.Picture;
@@ -59,6 +60,8 @@
    */
   private static final int STATE_CONNECTIONS = 128;
 
+  private static final long SECOND_MS = 1_000;
+
   /** Copies of late transactions, as a part of the state service's calls, for all nodes. */
   private static final double REPEATED_SHARE = 0.3;
 
@@ -83,6 +86,7 @@
   /** What goes round cuts; null where it is off. */
   private final LinkDuties links;
 
+  private final Admission admission;
   private Leader leader;
   private PrometheusMeterRegistry registry;
 
@@ -115,6 +119,7 @@
     state.repeatsPerSecond(
         Math.max(LEAST_REPEATS_PER_S, s.stateRps() * REPEATED_SHARE / s.nodes()));
     long now = loop.now();
+    this.admission = new Admission(now);
     this.cloud =
         new CloudApi(
             loop,
@@ -203,6 +208,9 @@
       links.start(election, workers, new LinkOffice());
     }
     election.start();
+    loop.every(
+        SECOND_MS,
+        () -> admission.stateService(loop.now() - state.crowdedMs() < SECOND_MS, loop.now()));
   }
 
   private final class Inlet implements Host.Front {
@@ -355,6 +363,8 @@
       gauge("mallowroad.stood.still.longest.ms", n -> n.watched(h -> h.still().longestMs()));
       gauge("mallowroad.loop.lag.ms", n -> n.leader == null ? 0 : n.leader.lagMs());
       gauge("mallowroad.cancellations.view.ms", n -> n.leader == null ? 0 : n.leader.viewMs());
+      gauge("mallowroad.admission.limited", n -> n.admission.limited() ? 1 : 0);
+      gauge("mallowroad.admission.refused", n -> n.admission.refused());
       gauge("mallowroad.state.silence.ms", n -> n.loop.now() - n.state.contactMs());
       if (links != null) {
         gauge("mallowroad.links.down", n -> n.links.links().downCount());
@@ -459,8 +469,7 @@
               workers,
               users.folding(),
               () -> links == null ? 0 : links.links().freshRows(loop.now()),
-              () -> types.keep(mark),
-              job -> users.ended(job.spec.id(), true));
+              new LeaderDuties(term, mark));
       leader.start();
       // After the takeover's first reads are under way: they matter more.
       loop.after(100, () -> peers.announce(site.settings().node(), term));
@@ -475,7 +484,39 @@
     }
   }
 
+  /** What a leader asks of its node. */
+  private final class LeaderDuties implements Leader.Listener {
+    private final long term;
+    private final long mark;
+
+    LeaderDuties(long term, long mark) {
+      this.term = term;
+      this.mark = mark;
+    }
+
+    @Override
+    public void recordsRead() {
+      types.keep(mark);
+    }
+
+    @Override
+    public void overloaded() {
+      admission.overloaded(loop.now());
+      peers.overloaded(term);
+    }
+
+    @Override
+    public void ended(Job job) {
+      users.ended(job.spec.id(), true);
+    }
+  }
+
   private final class NodeJobs implements UserApi.Jobs {
+    @Override
+    public boolean admits() {
+      return admission.admits(loop.now());
+    }
+
     @Override
     public JobSpec check(JsonNode submission) throws BadMessage {
       return site.codec.check(submission);
@@ -514,6 +555,13 @@
       cancellations.heard(jobs, users::ended);
     }
 
+    @Override
+    public void overloaded(long term) {
+      if (term >= election.seenTerm() || term == election.leaderTerm()) {
+        admission.overloaded(loop.now());
+      }
+    }
+
     @Override
     public void announced(String node, long term) {
       election.announced(node, term);
--- a/src/main/java/org/mallowroad/core/Chunk.java
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -26,6 +26,11 @@
   /** How many of its attempts wait for a commit before they may be launched. */
   int recording;
 
+  /** How many of its attempts are not on record yet. */
+  public int recording() {
+    return recording;
+  }
+
   /** Since when it is dirty. */
   public long dirtySinceMs;
 
--- a/src/main/java/org/mallowroad/core/Spending.java
+++ b/src/main/java/org/mallowroad/core/Spending.java
@@ -1,7 +1,10 @@
 package org.mallowroad.core;
 
 import it.unimi.dsi.fastutil.ints.Int2ObjectLinkedOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Reference2DoubleOpenHashMap;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Where the money of a term went, by machine type and kind: boots, room that nobody used, starts
@@ -16,13 +19,9 @@
   private final Int2ObjectLinkedOpenHashMap<Kind> kinds = new Int2ObjectLinkedOpenHashMap<>();
 
   /** What went into machines of one type, ordinary or spot; amounts are money. */
-  public static final class Kind {
-    /** Name of the type. */
-    public final String type;
-
-    /** True for spot machines. */
-    public final boolean spot;
-
+  private static final class Kind {
+    private final String type;
+    private final boolean spot;
     private double boot;
     private double life;
     private double starting;
@@ -34,36 +33,35 @@
       this.type = type;
       this.spot = spot;
     }
+  }
 
-    /** Machines gone so far. */
-    public int machines() {
-      return machines;
-    }
-
-    /** From the rental request to the first report. */
-    public double boot() {
-      return boot;
-    }
-
-    /** From an attempt's making to its run: records, launches, image fetches. */
-    public double starting() {
-      return starting;
-    }
-
-    /** Runs of tasks that completed. */
-    public double useful() {
-      return useful;
+  /** What was spent on a kind of machines so far, those that there are included. */
+  public record Line(
+      String type,
+      boolean spot,
+      int machinesGone,
+      double boot,
+      double idle,
+      double starting,
+      double useful,
+      double lost) {}
+
+  /** A line for each kind that was used; what runs is neither idle nor anything else yet. */
+  public List<Line> lines(Collection<Machine> machines, long now) {
+    Reference2DoubleOpenHashMap<Kind> living = new Reference2DoubleOpenHashMap<>();
+    for (Machine m : machines) {
+      double sum = money(m, 1, now - m.sinceMs);
+      for (Attempt a : m.attempts) {
+        sum -= money(m, share(a.job.spec, m.type), now - a.sinceMs);
+      }
+      living.addTo(kind(m.type, m.spot), sum);
     }
-
-    /** Runs that did not end with a completed task. */
-    public double lost() {
-      return lost;
-    }
-
-    /** Room of machines that are gone that no attempt took; below 0 while much still runs. */
-    public double idle() {
-      return life - starting - useful - lost;
+    List<Line> lines = new ArrayList<>();
+    for (Kind k : kinds.values()) {
+      double idle = living.getDouble(k) + k.life - k.starting - k.useful - k.lost;
+      lines.add(new Line(k.type, k.spot, k.machines, k.boot, idle, k.starting, k.useful, k.lost));
     }
+    return lines;
   }
 
   private Kind kind(MachineType type, boolean spot) {
@@ -113,9 +111,4 @@
     }
     return share;
   }
-
-  /** Each kind that was used; at most two for each machine type. */
-  public Collection<Kind> kinds() {
-    return kinds.values();
-  }
 }
--- /dev/null
+++ b/src/main/java/org/mallowroad/core/admission/RecordLag.java
@@ -0,0 +1,97 @@
+package org.mallowroad.core.admission;
+
+import org.mallowroad.core.Attempt;
+import org.mallowroad.core.Chunk;
+import org.mallowroad.core.Job;
+import org.mallowroad.core.JobSpec;
+import org.mallowroad.core.Ledger;
+
+/**
+ * How far a leader's records are behind: the longest that a start or an end that is not idle work's
+ * has waited to be recorded. Idle work waits for its turn by design and says nothing.
+ */
+public final class RecordLag {
+  /** Starts wait for records a few seconds in any burst, and for longer after a takeover. */
+  static final long STARTS_MS = 12_000;
+
+  /** An end is told within 3 s; a user has no use for one that is much later. */
+  static final long ENDS_MS = 8_000;
+
+  /** A lag counts once it has lasted for so long. */
+  static final long LASTING_MS = 3_000;
+
+  /**
+   * Starts that are not on record take their teams' limits: where they are so large a part of all
+   * attempts, for so long, records and not machines are what work waits for.
+   */
+  static final double RECORDING_SHARE = 0.25;
+
+  static final int RECORDING_LEAST = 20;
+
+  static final long RECORDING_MS = 6_000;
+
+  private long sinceMs = -1;
+  private long recordingSinceMs = -1;
+  private boolean overloaded;
+
+  /** Call about once a second. */
+  public void look(Ledger ledger, long now) {
+    boolean lags = startsMs(ledger, now) > STARTS_MS || endsMs(ledger, now) > ENDS_MS;
+    sinceMs = !lags ? -1 : sinceMs < 0 ? now : sinceMs;
+    boolean recording = mostlyRecording(ledger);
+    recordingSinceMs = !recording ? -1 : recordingSinceMs < 0 ? now : recordingSinceMs;
+    overloaded =
+        (lags && now - sinceMs >= LASTING_MS)
+            || (recording && now - recordingSinceMs >= RECORDING_MS);
+  }
+
+  /** True while there is more to record than the state service takes. */
+  public boolean overloaded() {
+    return overloaded;
+  }
+
+  private static boolean mostlyRecording(Ledger ledger) {
+    int recording = 0;
+    for (Chunk c : ledger.urgent()) {
+      recording += c.job.spec.priority() < JobSpec.IDLE ? c.recording() : 0;
+    }
+    if (recording < RECORDING_LEAST) {
+      return false;
+    }
+    int live = 0;
+    for (Job j : ledger.jobs()) {
+      live += j.liveCount();
+    }
+    return recording > RECORDING_SHARE * live;
+  }
+
+  /** How long the oldest start waits that is to be recorded. */
+  static long startsMs(Ledger ledger, long now) {
+    for (Chunk c : ledger.urgent()) {
+      if (c.job.spec.priority() >= JobSpec.IDLE) {
+        continue;
+      }
+      // They stand in the order in which they were placed.
+      long oldest = now;
+      for (int t = c.from(); t < c.to(); t++) {
+        Attempt a = c.job.live(t);
+        if (a != null && a.phase == Attempt.Phase.RECORDING) {
+          oldest = Math.min(oldest, a.sinceMs);
+        }
+      }
+      return now - oldest;
+    }
+    return 0;
+  }
+
+  /** How long the oldest end waits that is to be recorded. */
+  static long endsMs(Ledger ledger, long now) {
+    long longest = 0;
+    for (Job j : ledger.ending()) {
+      if (j.spec.priority() < JobSpec.IDLE) {
+        longest = Math.max(longest, now - j.allDoneMs());
+      }
+    }
+    return longest;
+  }
+}
--- a/src/main/java/org/mallowroad/peer/PeerCodec.java
+++ b/src/main/java/org/mallowroad/peer/PeerCodec.java
@@ -20,7 +20,10 @@
 
 /** What controllers say to each other, in Avro's binary form. */
 final class PeerCodec {
-  /** Of the form of {@link Cancelled}; another build's is refused, and costs time alone. */
+  /**
+   * Of the forms of {@link Cancelled} and {@link Overloaded}; another build's is refused, and costs
+   * time alone.
+   */
   private static final int VERSION = 1;
 
   /** A leader makes its term known. */
@@ -32,6 +35,9 @@
   /** What the other node answered. */
   record Relayed(int status, byte[] body) {}
 
+  /** The leader of this term has more to record than the state service takes. */
+  record Overloaded(long term) {}
+
   /** Jobs that are cancelled, for good. */
   record Cancelled(List<String> jobs) {}
 
@@ -47,6 +53,13 @@
           .stringType()
           .noDefault()
           .endRecord();
+  private final Schema overloaded =
+      SchemaBuilder.record("Overloaded")
+          .namespace("org.mallowroad.peer")
+          .fields()
+          .requiredInt("version")
+          .requiredLong("term")
+          .endRecord();
   private final Schema announce =
       SchemaBuilder.record("Announce")
           .namespace("org.mallowroad.peer")
@@ -99,6 +112,21 @@
     return write(cancelled, r);
   }
 
+  byte[] encode(Overloaded m) {
+    GenericRecord r = new GenericData.Record(overloaded);
+    r.put("version", VERSION);
+    r.put("term", m.term());
+    return write(overloaded, r);
+  }
+
+  Overloaded overloaded(byte[] bytes) throws BadMessage {
+    GenericRecord r = read(overloaded, bytes);
+    if ((Integer) r.get("version") != VERSION) {
+      throw new BadMessage("another build's message");
+    }
+    return new Overloaded((Long) r.get("term"));
+  }
+
   Cancelled cancelled(byte[] bytes) throws BadMessage {
     GenericRecord r = read(cancelled, bytes);
     if ((Integer) r.get("version") != VERSION) {
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -30,6 +30,7 @@
   private static final String ANNOUNCE = "/announce";
   private static final String RELAY = "/relay";
   private static final String CANCELLED = "/cancelled";
+  private static final String OVERLOADED = "/overloaded";
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
@@ -49,6 +50,9 @@
     /** These jobs are cancelled, as a peer knows for a fact. */
     void cancelled(List<String> jobs);
 
+    /** The leader of that term has more to record than the state service takes. */
+    void overloaded(long term);
+
     /** Serves a user's request that a peer passed on; it is not passed on again. */
     void relayed(String method, String path, byte[] body, Answerer answerer);
   }
@@ -107,6 +111,25 @@
         });
   }
 
+  /** Tells all peers that the records lag; what is lost is said again a second later. */
+  public void overloaded(long term) {
+    byte[] message = codec().encode(new PeerCodec.Overloaded(term));
+    for (Caller c : callers) {
+      c.call(
+          "POST",
+          OVERLOADED,
+          message,
+          TIMEOUT_MS,
+          new Caller.Answer() {
+            @Override
+            public void answered(int status, byte[] body) {}
+
+            @Override
+            public void failed(boolean sent) {}
+          });
+    }
+  }
+
   /** Tells one peer that jobs are cancelled; {@code over} says whether it has taken it. */
   public void cancelled(int peer, List<String> jobs, Consumer<Boolean> over) {
     callers
@@ -217,6 +240,9 @@
       } else if (x.path().equals(CANCELLED)) {
         listener.cancelled(codec().cancelled(x.body()).jobs());
         x.answer(204, AVRO, new byte[0], false);
+      } else if (x.path().equals(OVERLOADED)) {
+        listener.overloaded(codec().overloaded(x.body()).term());
+        x.answer(204, AVRO, new byte[0], false);
       } else if (x.path().equals(RELAY)) {
         PeerCodec.Relay r = codec().relay(x.body());
         listener.relayed(
--- a/src/main/java/org/mallowroad/world/Checker.java
+++ b/src/main/java/org/mallowroad/world/Checker.java
@@ -232,6 +232,11 @@
     return (int) jobs.values().stream().filter(j -> j.withdrawnMs >= 0).count();
   }
 
+  /** Jobs whose users were told that they are done. */
+  int done() {
+    return (int) jobs.values().stream().filter(j -> j.doneMs >= 0).count();
+  }
+
   /** Tasks that started after their user was told that the job is cancelled. */
   long cancelledStarts() {
     return cancelledStarts;
--- a/src/main/java/org/mallowroad/world/StateModel.java
+++ b/src/main/java/org/mallowroad/world/StateModel.java
@@ -22,6 +22,8 @@
   private long secondMs;
   private int calls;
 
+  private final int writesPerSecond;
+  private int writesThisSecond;
   private long writes;
 
   /** Puts and deletes asked for so far, those of failed transactions too. */
@@ -46,11 +48,12 @@
 
   private record Waiting(int node, String target, Network.Reply reply, long untilMs) {}
 
-  StateModel(Timeline time, SplittableRandom random, int rps) {
+  StateModel(Timeline time, SplittableRandom random, int rps, int writesPerSecond) {
     super(Network.Kind.STATE, 0, "state", null);
     this.time = time;
     this.random = random;
     this.rps = rps;
+    this.writesPerSecond = writesPerSecond;
     tick();
   }
 
@@ -97,6 +100,7 @@
     if (time.ms() - secondMs >= 1_000) {
       secondMs = time.ms();
       calls = 0;
+      writesThisSecond = 0;
     }
     if (++calls > rps
         || (listsCrowded && target.startsWith("/kv?"))
@@ -107,7 +111,13 @@
     try {
       long before = store.revision();
       if (target.equals("/multi")) {
-        writes += Json.parseObject(body).path(Fields.WRITES).size();
+        int more = Json.parseObject(body).path(Fields.WRITES).size();
+        writes += more;
+        writesThisSecond += more;
+        if (writesThisSecond > writesPerSecond) {
+          reply.answer(429, EMPTY);
+          return;
+        }
       }
       Store.Answer a = store.serve(method, target, body, time.ms());
       if (a == null) {
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -48,6 +48,8 @@
 
   private static final long END_LOOK_US = 3_000_000;
   private static final double GUARANTEE_CPUS = 16;
+  private static final int STATE_RPS = 400;
+  private static final int STATE_WRITE_RPS = 100;
 
   /** How often it is looked whether another controller leads. */
   private static final long TERM_LOOK_US = 10_000;
@@ -89,6 +91,7 @@
    * @param cancelled jobs whose users were told that they are cancelled
    * @param keptReports reports that were kept for a new leader and reached it
    * @param looks jobs that users looked at closely once they were accepted
+   * @param done jobs whose users were told that they are done
    * @param writes puts and deletes of the state service, failed ones too
    * @param cancelledStarts tasks that started after their user was told of the cancellation
    * @param goneMs the longest that a task outlasted that word
@@ -109,6 +112,7 @@
       int cancelled,
       int keptReports,
       int looks,
+      int done,
       long writes,
       long cancelledStarts,
       long goneMs,
@@ -133,7 +137,7 @@
       return String.format(
           java.util.Locale.ROOT,
           "seed=%d nodes=%d faults=%d started=%d killed=%d terms=%d workers_ms=%d users_ms=%d recovery_ms=%d taken=%d"
-              + " cancelled=%d kept=%d looks=%d writes=%d cancelled_starts=%d gone_ms=%d unfinished=%d least=%.2f until=%d events=%d breaches=%s",
+              + " cancelled=%d kept=%d looks=%d done=%d writes=%d cancelled_starts=%d gone_ms=%d unfinished=%d least=%.2f until=%d events=%d breaches=%s",
           plan.seed(),
           plan.nodes(),
           plan.faults().size(),
@@ -147,6 +151,7 @@
           cancelled,
           keptReports,
           looks,
+          done,
           writes,
           cancelledStarts,
           goneMs,
@@ -166,7 +171,7 @@
     Map<String, Double> limits = new HashMap<>();
     TEAMS.forEach(t -> limits.put(t, plan.limits() * limit(t)));
     this.checker = new Checker(time::ms, limits, (long) (CANCEL_S * 1000));
-    this.state = new StateModel(time, random.split(), 400);
+    this.state = new StateModel(time, random.split(), STATE_RPS, STATE_WRITE_RPS);
     this.cloud = new CloudModel(time, random.split(), Plan.ZONES, plan.machines(), this::worker);
     directory.put("state", state);
     directory.put("cloud", cloud);
@@ -321,8 +326,8 @@
         REPORT_S,
         LEASE_S,
         CANCEL_S,
-        400,
-        100,
+        STATE_RPS,
+        STATE_WRITE_RPS,
         8,
         16,
         20,
@@ -822,6 +827,7 @@
         checker.cancelled(),
         keptReports,
         users.looks(),
+        checker.done(),
         state.writes(),
         checker.cancelledStarts(),
         checker.goneMs(),
--- a/src/test/java/org/mallowroad/world/MeetingsTest.java
+++ b/src/test/java/org/mallowroad/world/MeetingsTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
 import org.mallowroad.world.Fault.Kind;
 
@@ -555,6 +556,40 @@
             terms(3).and(cancelled(4))));
   }
 
+  /**
+   * Two, four and seven times as many jobs as the records can carry (some 25 a second): nothing
+   * that was accepted is forgotten or left, and as many are done as at the rate that they can
+   * carry.
+   */
+  @Test
+  void overload() {
+    int carried = done(overloaded(1));
+    for (int times : new int[] {2, 4, 7}) {
+      List<World.Result> all = overloaded(times);
+      List<String> broken =
+          all.stream()
+              .flatMap(r -> r.breaches().stream())
+              .map(Checker.Breach::rule)
+              .filter(rule -> !rule.equals("served")) // Jobs that were turned away are not.
+              .distinct()
+              .toList();
+      assertEquals(List.of(), broken);
+      assertTrue(done(all) >= 0.9 * carried, times + ": " + done(all) + " of " + carried);
+    }
+  }
+
+  private static List<World.Result> overloaded(int times) {
+    Fault jobs = fault(Kind.SINGLE_JOBS, 15_000, 15_000, 0, 25 * times);
+    return LongStream.rangeClosed(1, 3)
+        .parallel()
+        .mapToObj(seed -> play(new Plan(seed, 3, 16, 12, true, List.of(jobs))))
+        .toList();
+  }
+
+  private static int done(List<World.Result> all) {
+    return all.stream().mapToInt(World.Result::done).sum();
+  }
+
   /** One-task jobs as fast as the users' page has them. */
   @TestFactory
   Stream<DynamicTest> singleJobs() {
