--- a/src/main/java/org/mallowroad/api/Door.java
+++ b/src/main/java/org/mallowroad/api/HttpRouter.java
@@ -6,7 +6,7 @@
 import org.mallowroad.net.Incoming;
 
 /** Routes what users, workers and probes ask; all answers are given on the one loop. */
-public final class Door {
+public final class HttpRouter {
   private static final String JOBS = "/v1/jobs";
   private static final String TEXT = "text/plain; charset=utf-8";
 
@@ -23,7 +23,7 @@
   }
 
   /** Over the parties' handlers. */
-  public Door(
+  public HttpRouter(
       Users users,
       Consumer<Incoming> reports,
       Supplier<Boolean> healthy,
--- a/src/main/java/org/mallowroad/api/UserApi.java
+++ b/src/main/java/org/mallowroad/api/UserApi.java
@@ -92,7 +92,7 @@
     return lookup.opens();
   }
 
-  /** Serves a request whose path and method the door has checked. */
+  /** Serves a request whose path and method the router has checked. */
   public void serve(String method, String path, byte[] body, Answerer x) {
     String rest = path.length() > JOBS.length() ? path.substring(JOBS.length() + 1) : "";
     int slash = rest.indexOf('/');
--- a/src/main/java/org/mallowroad/console/ConsoleServer.java
+++ b/src/main/java/org/mallowroad/console/ConsoleServer.java
@@ -52,7 +52,7 @@
   private final XnioWorker worker;
   private final XnioLoop own;
   private final Undertow server;
-  private final Pulse pulse = new Pulse();
+  private final LoopProbe probe = new LoopProbe();
   private final List<Waiter> waiters = new ArrayList<>();
   private final Past past;
   private final Budget jobs;
@@ -107,11 +107,11 @@
   }
 
   private void beat() {
-    if (pulse.send(own.now())) {
+    if (probe.send(own.now())) {
       subject.soon(
           () -> {
             long ran = own.now();
-            own.soon(() -> pulse.back(ran));
+            own.soon(() -> probe.back(ran));
           });
     }
   }
@@ -178,7 +178,7 @@
 
   private void picture(HttpServerExchange x) {
     boolean fresh = picture != null && own.now() - pictureMs <= settings.freshMs();
-    if (fresh || pulse.stuck(own.now()) || waiters.size() >= MOST_WAITING) {
+    if (fresh || probe.stuck(own.now()) || waiters.size() >= MOST_WAITING) {
       sight(x);
       return;
     }
@@ -194,12 +194,12 @@
 
   private void sight(HttpServerExchange x) {
     long now = own.now();
-    List<String> stack = pulse.stuck(now) ? Pulse.stack(subject.thread()) : List.of();
+    List<String> stack = probe.stuck(now) ? LoopProbe.stack(subject.thread()) : List.of();
     Sight s =
         new Sight(
             Picture.FORMAT,
             subject.node(),
-            pulse.lateMs(now),
+            probe.lateMs(now),
             stack,
             picture == null ? -1 : (now - pictureMs) / 1000.0,
             picture);
@@ -211,7 +211,7 @@
       send(x, 404, ConsoleCodec.bytes(new Refusal("not a job id")));
       return;
     }
-    if (pulse.stuck(own.now()) || jobsAsked >= MOST_WAITING) {
+    if (probe.stuck(own.now()) || jobsAsked >= MOST_WAITING) {
       send(x, 503, ConsoleCodec.bytes(new Refusal("the loop does not answer")));
       return;
     }
--- a/src/main/java/org/mallowroad/controller/FailureResponder.java
+++ b/src/main/java/org/mallowroad/controller/FailureResponder.java
@@ -181,7 +181,7 @@
       if (a.stopping()) {
         continue;
       }
-      if (a.phase == Attempt.Phase.RUNNING && a.overdue(health.paces(), now)) {
+      if (a.phase == Attempt.Phase.RUNNING && a.overdue(health.runTimes(), now)) {
         overdue++;
       } else if (a.phase == Attempt.Phase.PULLING) {
         double needS = a.job.spec.imageGb() / Math.max(1e-3, m.type.fetchGbPerS());
@@ -210,7 +210,7 @@
     leftOut += health.unlogged();
     Arrays.fill(deafIn, 0);
     for (Machine m : ledger.machines()) {
-      deafIn[m.zone] += m.health.hearing().deaf() ? 1 : 0;
+      deafIn[m.zone] += m.health.answerDelivery().deaf() ? 1 : 0;
     }
     for (Machine m : ledger.machines()) {
       if (!m.returning) {
@@ -236,7 +236,7 @@
     if (ledger.dialogue().mustFence(m, now)) {
       m.returning = true;
       line(m.name, "machine_unfenced", 0);
-    } else if (m.health.hearing().deaf()) {
+    } else if (m.health.answerDelivery().deaf()) {
       deaf(m, now);
     } else if (silence.silentMs(m.health, now) > silentMs + (m.via >= 0 ? ROUND_MS : 0)) {
       if (mayReturn(m, silence, now)) {
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -12,7 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import org.mallowroad.api.Answerer;
-import org.mallowroad.api.Door;
+import org.mallowroad.api.HttpRouter;
 import org.mallowroad.api.Reply;
 import org.mallowroad.api.UserApi;
 import org.mallowroad.cloud.CloudApi;
@@ -78,7 +78,7 @@
   private final ReportApi reports;
   private final Peers peers;
   private final TypesKeeper types;
-  private final Door door;
+  private final HttpRouter router;
   private final ConsoleServer console;
 
   private final CancellationDuties cancellations;
@@ -163,7 +163,7 @@
             : new ConsoleServer(
                 site.operator.console().get(),
                 new Watched(new Sketcher(loop, site, state, election, () -> leader)));
-    this.door = new Door(this::serve, reports::report, this::healthy, this::metrics);
+    this.router = new HttpRouter(this::serve, reports::report, this::healthy, this::metrics);
     if (on) {
       peers.forwarding(links.forwarding());
       workers.bypass(links.forwarding()::orders);
@@ -216,7 +216,7 @@
   private final class Inlet implements Host.Front {
     @Override
     public void request(Incoming x) {
-      door.request(x);
+      router.request(x);
     }
 
     @Override
@@ -356,8 +356,8 @@
       gauge(
           "mallowroad.tasks.completed", n -> n.leader == null ? 0 : n.leader.ledger().completed());
       gauge("mallowroad.machines.late", n -> n.watched(h -> h.silence().lateCount()));
-      gauge("mallowroad.machines.doubted", n -> n.watched(h -> h.paces().doubted()));
-      gauge("mallowroad.machines.slow.refused", n -> n.watched(h -> h.paces().refused()));
+      gauge("mallowroad.machines.doubted", n -> n.watched(h -> h.runTimes().doubted()));
+      gauge("mallowroad.machines.slow.refused", n -> n.watched(h -> h.runTimes().refused()));
       gauge("mallowroad.zones.cut", n -> n.watched(h -> h.silence().cuts()));
       gauge("mallowroad.stood.still", n -> n.watched(h -> h.still().count()));
       gauge("mallowroad.stood.still.longest.ms", n -> n.watched(h -> h.still().longestMs()));
--- a/src/main/java/org/mallowroad/controller/Site.java
+++ b/src/main/java/org/mallowroad/controller/Site.java
@@ -70,7 +70,7 @@
     ledger.names(usedImages, usedClasses, usedTypes);
     images.keep(usedImages);
     classes.keep(usedClasses);
-    ledger.health().paces().keep(usedClasses);
+    ledger.health().runTimes().keep(usedClasses);
     types.keep(usedTypes);
   }
 
--- a/src/main/java/org/mallowroad/core/Attempt.java
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -1,6 +1,6 @@
 package org.mallowroad.core;
 
-import org.mallowroad.core.health.Paces;
+import org.mallowroad.core.health.RunTimes;
 
 /** One try to run one task on one machine; it takes room until it is proven gone. */
 public final class Attempt {
@@ -84,8 +84,9 @@
   }
 
   /** True when it has run for several times as long as its peers did. */
-  public boolean overdue(Paces paces, long now) {
-    return runningSinceMs > 0 && paces.late(job.peers, now - runningSinceMs, job.spec.estimateS());
+  public boolean overdue(RunTimes runTimes, long now) {
+    return runningSinceMs > 0
+        && runTimes.late(job.peers, now - runningSinceMs, job.spec.estimateS());
   }
 
   /** How the worker names it. */
--- a/src/main/java/org/mallowroad/core/Dialogue.java
+++ b/src/main/java/org/mallowroad/core/Dialogue.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.mallowroad.core.health.AnswerDelivery;
 import org.mallowroad.core.health.Health;
-import org.mallowroad.core.health.Hearing;
 
 /**
  * What one machine's worker says, what it proves, and what it is told. Frees attempts by nothing
@@ -102,7 +102,7 @@
         orphan(m, e, job, now, orders);
       } else {
         if (a.told && a.phase == Attempt.Phase.READY) {
-          m.health.hearing().heeded();
+          m.health.answerDelivery().heeded();
         }
         listed.add(a);
         see(a, e, now, orders);
@@ -134,7 +134,7 @@
     }
     // Reports that answer direct orders come many to one answer, which may still be on its way.
     if (unheeded && mayLaunch) {
-      m.health.hearing().missed(now);
+      m.health.answerDelivery().missed(now);
     }
     m.toldToken = m.token;
     return orders;
@@ -142,7 +142,7 @@
 
   /** What the report shows of the answers before it; call before it is taken. */
   private void hear(Machine m, WorkerReport r, boolean ordinary, long now) {
-    Hearing h = m.health.hearing();
+    AnswerDelivery h = m.health.answerDelivery();
     if (m.toldToken > 0 && r.token() < m.toldToken) {
       if (ordinary) {
         h.missed(now);
@@ -186,7 +186,7 @@
     for (Attempt a : m.attempts) {
       due |= a.inFlight && a.stopping() && a.launchToken == m.token;
     }
-    due |= m.health.hearing().probe(now);
+    due |= m.health.answerDelivery().probe(now);
     // The last token of the block is never raised: then launches go in answers only (direct).
     if (due && m.token < Term.last(term)) {
       m.token++;
@@ -278,7 +278,7 @@
     if (!m.usable()
         || m.tokenSeen < term
         || now - m.reportedMs > freshMs
-        || m.health.hearing().deaf()) {
+        || m.health.answerDelivery().deaf()) {
       return orders;
     }
     for (Attempt a : m.attempts) {
--- a/src/main/java/org/mallowroad/core/Turnover.java
+++ b/src/main/java/org/mallowroad/core/ExpectedReleases.java
@@ -13,7 +13,7 @@
  * for some part of its estimate is taken to end at an even rate from then on, and only sums over
  * many tasks are used: the error of one job's estimate stays that job's share of the sum.
  */
-final class Turnover {
+final class ExpectedReleases {
   /** Before this part of its estimate hardly any task ends. */
   private static final double EARLY = 0.4;
 
@@ -38,7 +38,7 @@
   private long looked;
 
   /** Over the ends of the next {@code horizonS} seconds. */
-  Turnover(double horizonS) {
+  ExpectedReleases(double horizonS) {
     this.horizonS = horizonS;
   }
 
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -188,7 +188,7 @@
     sizes.put("shared", sharedRecords.all().size());
     sizes.put("ending", ending.size());
     sizes.put("watched", health.silence().known());
-    sizes.put("classes", health.paces().classes());
+    sizes.put("classes", health.runTimes().classes());
     return sizes;
   }
 
@@ -472,7 +472,7 @@
     if (m.reportedMs < 0 || now - m.reportedMs > freshMs) {
       return Refusal.SILENT;
     }
-    if (m.health.hearing().deaf()) {
+    if (m.health.answerDelivery().deaf()) {
       return Refusal.DEAF;
     }
     return m.coolUntilMs > now ? Refusal.COOLING : null;
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -56,7 +56,7 @@
 
   private final Ledger ledger;
   private double fetchGbPerS = FETCH_GB_PER_S;
-  private final Turnover turnover = new Turnover(WAIT_S);
+  private final ExpectedReleases releases = new ExpectedReleases(WAIT_S);
   private Machine[] order = new Machine[0];
   private Machine[] open = new Machine[0];
   private int openCount;
@@ -79,7 +79,7 @@
 
   /** Attempts looked at so far for what will end soon. */
   long surveyed() {
-    return turnover.looked();
+    return releases.looked();
   }
 
   /** Attempts stopped so far so that more important work gets room. */
@@ -198,7 +198,7 @@
       if (seek && !job.pending.isEmpty() && stopping < PREEMPT_JOBS) {
         if (!surveyed) {
           surveyed = true;
-          turnover.survey(ledger.jobs(), now);
+          releases.survey(ledger.jobs(), now);
         }
         if (preempt(job, now)) {
           stopping++;
@@ -440,8 +440,8 @@
     Team team = ledger.team(s);
     long waited = now - job.waitingSinceMs;
     int need = team.most(s, job.pending.size());
-    int coming = turnover.coming(s, need);
-    turnover.claim(s, need);
+    int coming = releases.coming(s, need);
+    releases.claim(s, need);
     need -= coming;
     if (waited < PREEMPT_AFTER_MS || need <= 0) {
       return false;
--- a/src/main/java/org/mallowroad/core/health/Health.java
+++ b/src/main/java/org/mallowroad/core/health/Health.java
@@ -17,7 +17,7 @@
   private final HealthPolicy policy;
   private final Silence silence;
   private final StandStill still;
-  private final Paces paces;
+  private final RunTimes runTimes;
   private final List<Change> changes = new ArrayList<>();
   private long unlogged;
   private int fleet;
@@ -27,7 +27,7 @@
     this.policy = policy;
     this.silence = new Silence(zones, reportS, policy, now);
     this.still = new StandStill(policy.stillMs(), now);
-    this.paces = new Paces(policy);
+    this.runTimes = new RunTimes(policy);
   }
 
   /** The thresholds. */
@@ -46,8 +46,8 @@
   }
 
   /** Who is slow or faulty. */
-  public Paces paces() {
-    return paces;
+  public RunTimes runTimes() {
+    return runTimes;
   }
 
   /** The machine became known. */
@@ -60,7 +60,7 @@
   public long heard(MachineHealth m, long now) {
     long at = still.heard(now);
     silence.heard(m, at);
-    if (paces.fade(m, now)) {
+    if (runTimes.fade(m, now)) {
       changed(m);
     }
     return at;
@@ -69,35 +69,35 @@
   /** The machine is proven gone. */
   public void gone(MachineHealth m) {
     silence.gone(m);
-    paces.gone(m);
+    runTimes.gone(m);
     fleet--;
   }
 
   /** A task ended well. */
   public void finished(
       MachineHealth m, Peers job, int taskClass, long ranMs, double estimateS, long now) {
-    if (paces.finished(m, job, taskClass, ranMs, estimateS, fleet, now)) {
+    if (runTimes.finished(m, job, taskClass, ranMs, estimateS, fleet, now)) {
       changed(m);
     }
   }
 
   /** A task failed; {@code jobAtFault} when its job has failed on several machines. */
   public void failed(MachineHealth m, int job, boolean jobAtFault, long now) {
-    if (paces.failed(m, job, jobAtFault, fleet, now)) {
+    if (runTimes.failed(m, job, jobAtFault, fleet, now)) {
       changed(m);
     }
   }
 
   /** So many tasks on the machine have run for several times as long as their peers. */
   public void overdue(MachineHealth m, int tasks, long now) {
-    if (paces.overdue(m, tasks, fleet, now)) {
+    if (runTimes.overdue(m, tasks, fleet, now)) {
       changed(m);
     }
   }
 
   /** A task has been waiting for its image. */
   public void fetching(MachineHealth m, long waitedMs, double needMs, long now) {
-    if (paces.fetching(m, waitedMs, needMs, fleet, now)) {
+    if (runTimes.fetching(m, waitedMs, needMs, fleet, now)) {
       changed(m);
     }
   }
--- a/src/main/java/org/mallowroad/core/health/MachineHealth.java
+++ b/src/main/java/org/mallowroad/core/health/MachineHealth.java
@@ -25,7 +25,7 @@
   final int zone;
   final double[] excess = new double[SAMPLES];
   final IntOpenHashSet errorJobs = new IntOpenHashSet(4);
-  private final Hearing hearing = new Hearing();
+  private final AnswerDelivery answerDelivery = new AnswerDelivery();
   int samples;
   int overdue;
   long heardMs;
@@ -40,8 +40,8 @@
   }
 
   /** Whether what is said to it reaches it. */
-  public Hearing hearing() {
-    return hearing;
+  public AnswerDelivery answerDelivery() {
+    return answerDelivery;
   }
 
   /** What is held against it. */
--- a/src/main/java/org/mallowroad/core/health/Paces.java
+++ b/src/main/java/org/mallowroad/core/health/RunTimes.java
@@ -15,7 +15,7 @@
  * may be, since otherwise the day is slow and not the machines; and doubt fades, so that a machine
  * that recovered gets work again and can show it.
  */
-public final class Paces {
+public final class RunTimes {
   /** Tasks of a class that make it a measure, in thirds. */
   private static final int CLASS_PEERS = 60;
 
@@ -46,7 +46,7 @@
   private long refused;
 
   /** With the operators' thresholds. */
-  public Paces(HealthPolicy policy) {
+  public RunTimes(HealthPolicy policy) {
     this.policy = policy;
     this.slow = Math.log(policy.slowFactor());
   }
--- a/src/test/java/org/mallowroad/console/PulseTest.java
+++ b/src/test/java/org/mallowroad/console/LoopProbeTest.java
@@ -9,10 +9,10 @@
 import org.mallowroad.core.explain.Picture;
 
 /** What the console's thread concludes and keeps by itself. */
-final class PulseTest {
+final class LoopProbeTest {
   @Test
   void aLoopIsStuckWhileItsBeatIsOut() {
-    Pulse p = new Pulse();
+    LoopProbe p = new LoopProbe();
     assertTrue(p.send(10_000));
     assertFalse(p.send(10_500), "one beat at a time, or a stuck loop would find a queue of them");
     assertFalse(p.stuck(11_000));
--- a/src/test/java/org/mallowroad/controller/FailureResponderTest.java
+++ b/src/test/java/org/mallowroad/controller/FailureResponderTest.java
@@ -219,7 +219,7 @@
               for (Attempt a : m.attempts()) {
                 assertTrue(a.stopping());
               }
-              assertEquals(1, w.health.paces().doubted());
+              assertEquals(1, w.health.runTimes().doubted());
             }),
         day(
             "half a fleet that hung to just within its lease is not returned, nor rented twice",
--- a/src/test/java/org/mallowroad/core/TurnoverTest.java
+++ b/src/test/java/org/mallowroad/core/ExpectedReleasesTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.TestFactory;
 
 /** Stopping is for room that does not come by itself. */
-final class TurnoverTest {
+final class ExpectedReleasesTest {
   /** A full fleet of 100 machines of 4 CPUs with tasks of 60 s by their estimate. */
   private static final class World {
     final Names zones = new Names();
--- a/src/test/java/org/mallowroad/core/TakeoverPaceTest.java
+++ b/src/test/java/org/mallowroad/core/TakeoverPaceTest.java
@@ -50,7 +50,7 @@
       report(ledger, machines.get(i), WorkerReport.State.EXITED, now + 60_000);
     }
     assertEquals(80, job.doneCount());
-    assertEquals(0, ledger.health().paces().doubted());
-    assertEquals(0, ledger.health().paces().refused());
+    assertEquals(0, ledger.health().runTimes().doubted());
+    assertEquals(0, ledger.health().runTimes().refused());
   }
 }
--- a/src/test/java/org/mallowroad/core/health/HealthTest.java
+++ b/src/test/java/org/mallowroad/core/health/HealthTest.java
@@ -217,7 +217,7 @@
   }
 
   @TestFactory
-  Stream<DynamicTest> paces() {
+  Stream<DynamicTest> runTimes() {
     return Stream.of(
         rule(
             "a machine whose tasks take several times as long as their peers' is slow",
@@ -229,7 +229,7 @@
               }
               assertEquals(Doubt.SLOW, w.doubt(0));
               assertEquals(Doubt.NONE, w.doubt(1));
-              assertEquals(1, w.health.paces().doubted());
+              assertEquals(1, w.health.runTimes().doubted());
               assertTrue(w.machines.get(0).pace() > 3);
             }),
         rule(
@@ -249,7 +249,7 @@
               for (int i = 0; i < 200; i++) {
                 w.task(i % 20, 6);
               }
-              assertEquals(0, w.health.paces().doubted());
+              assertEquals(0, w.health.runTimes().doubted());
             }),
         rule(
             "nor is a job whose tasks differ widely",
@@ -257,7 +257,7 @@
               for (int i = 0; i < 400; i++) {
                 w.task(i % 20, i % 3 == 0 ? 3 : 0.8 + i % 7 / 5.0);
               }
-              assertEquals(0, w.health.paces().doubted());
+              assertEquals(0, w.health.runTimes().doubted());
             }),
         rule(
             "on a day that turns slow at least nine of ten machines stay in favour",
@@ -268,7 +268,7 @@
               for (int i = 0; i < 400; i++) {
                 w.task(i % 20, 4);
               }
-              assertTrue(w.health.paces().doubted() <= 2);
+              assertTrue(w.health.runTimes().doubted() <= 2);
             }),
         rule(
             "tasks that do not end although their peers did condemn a machine that hardly moves",
@@ -276,8 +276,8 @@
               for (int i = 0; i < 10; i++) {
                 w.task(1, 1);
               }
-              assertFalse(w.health.paces().late(w.job, 60_000, 40));
-              assertTrue(w.health.paces().late(w.job, 100_000, 40));
+              assertFalse(w.health.runTimes().late(w.job, 60_000, 40));
+              assertTrue(w.health.runTimes().late(w.job, 100_000, 40));
               w.health.overdue(w.machines.get(0), 4, w.now);
               assertEquals(Doubt.NONE, w.doubt(0));
               w.health.overdue(w.machines.get(0), 5, w.now);
@@ -301,7 +301,7 @@
               w.now += HealthPolicy.defaults().favourMs() + 1;
               w.health.heard(w.machines.get(1), w.now);
               assertEquals(Doubt.NONE, w.doubt(1));
-              assertEquals(0, w.health.paces().doubted());
+              assertEquals(0, w.health.runTimes().doubted());
             }),
         rule(
             "errors of several jobs make a machine faulty, those of one job or a bad job do not",
@@ -331,11 +331,11 @@
               for (int c = 0; c < 5_000; c++) {
                 w.health.finished(w.machines.get(0), new Peers(1), c, 1_000, 1, w.now);
               }
-              assertEquals(Paces.MOST_CLASSES, w.health.paces().classes());
+              assertEquals(RunTimes.MOST_CLASSES, w.health.runTimes().classes());
               BitSet used = new BitSet();
               used.set(3);
-              w.health.paces().keep(used);
-              assertEquals(1, w.health.paces().classes());
+              w.health.runTimes().keep(used);
+              assertEquals(1, w.health.runTimes().classes());
             }),
         rule(
             "changes of standing that nobody takes are bounded and counted",
@@ -396,7 +396,7 @@
       for (MachineHealth m : w.machines) {
         counted += m.doubted() ? 1 : 0;
       }
-      assertEquals(counted, w.health.paces().doubted());
+      assertEquals(counted, w.health.runTimes().doubted());
       assertTrue(counted <= 4);
     }
   }
