--- a/src/main/java/org/mallowroad/api/Folding.java
+++ b/src/main/java/org/mallowroad/api/Folding.java
@@ -44,7 +44,7 @@
  *
  * <p>A claim names its job; whether it is folded, held or nobody's follows from that job's own
  * records. So a job's end folds all of its games by the one transaction that ends it, and a
- * withdrawal releases them, however many there are.
+ * cancellation releases them, however many there are.
  *
  * <p>What fits is accepted in one transaction. What does not begins with {@code intent/<id>}, under
  * whose mark the blocks are claimed some at a time, and ends with a transaction that replaces the
@@ -712,7 +712,7 @@
                     told.accept(Fate.CLAIMING);
                   } else {
                     boolean is = end.value().path("end").asText().equals(Fields.DONE);
-                    told.accept(is ? Fate.DONE : Fate.WITHDRAWN);
+                    told.accept(is ? Fate.DONE : Fate.CANCELLED);
                   }
                 });
           }
--- a/src/main/java/org/mallowroad/api/JobLookup.java
+++ b/src/main/java/org/mallowroad/api/JobLookup.java
@@ -96,7 +96,7 @@
     if (!ends.containsKey(id)) {
       return null;
     }
-    return ends.getBoolean(id) ? Fate.DONE : Fate.WITHDRAWN;
+    return ends.getBoolean(id) ? Fate.DONE : Fate.CANCELLED;
   }
 
   /** True when a lookup asked for now is answered so soon that a submission may wait for it. */
--- a/src/main/java/org/mallowroad/cli/Main.java
+++ b/src/main/java/org/mallowroad/cli/Main.java
@@ -73,7 +73,7 @@
       line.addSubcommand(new CheckConfig())
           .addSubcommand(new Remote.Submit())
           .addSubcommand(new Remote.Show())
-          .addSubcommand(new Remote.Withdraw())
+          .addSubcommand(new Remote.Cancel())
           .addSubcommand(new Look.Status())
           .addSubcommand(new Top())
           .addSubcommand(new Look.Why())
--- a/src/main/java/org/mallowroad/cli/Rehearse.java
+++ b/src/main/java/org/mallowroad/cli/Rehearse.java
@@ -42,7 +42,7 @@
     return 0;
   }
 
-  /** True when all came to its end: jobs done and withdrawn, and a second node took over. */
+  /** True when all came to its end: jobs done and cancelled, and a second node took over. */
   static boolean play() throws IOException, BadSettings, InterruptedException {
     long until = System.nanoTime() + MOST_MS * 1_000_000;
     List<String> at = new CopyOnWriteArrayList<>();
--- a/src/main/java/org/mallowroad/cli/Remote.java
+++ b/src/main/java/org/mallowroad/cli/Remote.java
@@ -93,12 +93,13 @@
     }
   }
 
-  /** Withdraws a job. */
+  /** Cancels a job. */
   @Command(
-      name = "withdraw",
+      name = "cancel",
+      aliases = "withdraw",
       mixinStandardHelpOptions = true,
-      description = "Withdraws a job; its tasks are stopped.")
-  static final class Withdraw extends Remote {
+      description = "Cancels a job; its tasks are stopped.")
+  static final class Cancel extends Remote {
     @Parameters(paramLabel = "ID", description = "The job's id.")
     private String id;
 
--- a/src/main/java/org/mallowroad/console/view/Overview.java
+++ b/src/main/java/org/mallowroad/console/view/Overview.java
@@ -134,8 +134,8 @@
     return new Obstacle(
         Reason.NO_LEADER,
         recorded.leader().isEmpty()
-            ? "no controller holds the office"
-            : recorded.leader() + " holds the office by its record and did not answer");
+            ? "no controller holds the leadership"
+            : recorded.leader() + " holds the leadership by its record and did not answer");
   }
 
   private static JobLine blocked(JobLine j, Obstacle o) {
--- a/src/main/java/org/mallowroad/controller/CommitDraft.java
+++ b/src/main/java/org/mallowroad/controller/CommitDraft.java
@@ -268,7 +268,7 @@
       guarded.add(c.job);
     }
     seen.add(c);
-    if (!c.job.withdrawn() && !c.job.ended()) {
+    if (!c.job.cancelled() && !c.job.ended()) {
       // The job must still be open when a start is recorded.
       txn.given(Records.open(c.job.spec.id()), c.job.mark);
     }
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -462,7 +462,7 @@
 
   /** It is a fact that the job was cancelled, whoever says so; told once or more. */
   void cancelled(Job j) {
-    ledger.withdraw(j, loop.now());
+    ledger.cancel(j, loop.now());
     events.ended(j, false);
     tidy(j);
   }
--- a/src/main/java/org/mallowroad/controller/EarlyReports.java
+++ b/src/main/java/org/mallowroad/controller/EarlyReports.java
@@ -27,7 +27,7 @@
   private record Early(WorkerReport report, int via, Consumer<ObjectNode> reply, long atMs) {}
 
   /** Where a held report goes in the end. */
-  interface Office {
+  interface Listener {
     /** Takes the report as one that came just now. */
     void report(WorkerReport r, int via, Consumer<ObjectNode> reply);
   }
@@ -65,21 +65,21 @@
   }
 
   /** The records are read: all that is held is taken, a few in a turn. */
-  void take(Loop loop, Consumer<WorkerReport> known, Office office) {
+  void take(Loop loop, Consumer<WorkerReport> known, Listener listener) {
     seen.values().forEach(known);
     seen.clear();
     Deque<Early> all = new ArrayDeque<>(held.values());
     held.clear();
-    some(loop, all, office);
+    some(loop, all, listener);
   }
 
-  private static void some(Loop loop, Deque<Early> all, Office office) {
+  private static void some(Loop loop, Deque<Early> all, Listener listener) {
     for (int i = 0; i < TURN && !all.isEmpty(); i++) {
       Early e = all.poll();
-      office.report(e.report, e.via, e.reply);
+      listener.report(e.report, e.via, e.reply);
     }
     if (!all.isEmpty()) {
-      loop.soon(() -> some(loop, all, office));
+      loop.soon(() -> some(loop, all, listener));
     }
   }
 }
--- a/src/main/java/org/mallowroad/controller/FleetManager.java
+++ b/src/main/java/org/mallowroad/controller/FleetManager.java
@@ -50,7 +50,7 @@
   private final FailureResponder responder;
   private final long term;
   private final long mark;
-  private final Office office;
+  private final Listener listener;
   private final List<Loop.Timer> duties = new ArrayList<>();
   private final Object2ObjectLinkedOpenHashMap<String, Hire> hires =
       new Object2ObjectLinkedOpenHashMap<>();
@@ -64,7 +64,7 @@
   private boolean stopped;
 
   /** What the manager asks of the leader. */
-  interface Office {
+  interface Listener {
     /** True while the leader reaches the state service and its lease holds. */
     boolean firm();
 
@@ -115,7 +115,7 @@
       int maxOps,
       long term,
       long mark,
-      Office office) {
+      Listener listener) {
     this.loop = loop;
     this.state = state;
     this.cloud = cloud;
@@ -127,7 +127,7 @@
     this.fleet = new Fleet(ledger, site.operator.fleet(), site.objectives);
     this.term = term;
     this.mark = mark;
-    this.office = office;
+    this.listener = listener;
   }
 
   /** Begins; decisions wait until {@link #act()}. */
@@ -226,7 +226,7 @@
         ledger.machineFailed(m, now);
         m.returning = true;
         expected.remove(l.name());
-        office.changed();
+        listener.changed();
       }
       return;
     }
@@ -243,7 +243,7 @@
   }
 
   private void cycle() {
-    if (stopped || !office.firm()) {
+    if (stopped || !listener.firm()) {
       return;
     }
     long now = loop.now();
@@ -254,7 +254,7 @@
     }
     settle();
     List<Coming> coming = coming(now);
-    List<Job> queue = office.queue();
+    List<Job> queue = listener.queue();
     // What one transaction cannot record is asked for again in the next cycle.
     List<Fleet.Rent> rents = fleet.rents(queue, coming, site.machineTypes(), now);
     for (Gathering.Change c : ledger.gathering().changes()) {
@@ -277,7 +277,7 @@
   }
 
   private void judge() {
-    if (!stopped && office.firm()) {
+    if (!stopped && listener.firm()) {
       responder.judge(loop.now());
       judgeExpected(loop.now());
       sendDeletes();
@@ -338,7 +338,7 @@
           if (result == Result.OK) {
             batch.forEach(this::call);
           } else if (result == Result.NO && failed.contains(Election.LEADER)) {
-            office.deposed();
+            listener.deposed();
           } else {
             // Not known to be recorded: never called. The names stay unused.
             batch.forEach(h -> hires.remove(h.name));
@@ -385,7 +385,7 @@
             loop.after(
                 AGAIN_MS,
                 () -> {
-                  if (!stopped && !h.calling && office.firm()) {
+                  if (!stopped && !h.calling && listener.firm()) {
                     call(h);
                   }
                 });
@@ -489,7 +489,7 @@
             }
             expected.remove(n);
           }
-          office.changed();
+          listener.changed();
         });
   }
 }
--- a/src/main/java/org/mallowroad/controller/HoldKeeper.java
+++ b/src/main/java/org/mallowroad/controller/HoldKeeper.java
@@ -374,7 +374,7 @@
         leagues(new ArrayDeque<>(hold.ties.highest().keySet()));
         return;
       }
-      if (ledger.job(j) != null && !ledger.job(j).ended() && !ledger.job(j).withdrawn()) {
+      if (ledger.job(j) != null && !ledger.job(j).ended() && !ledger.job(j).cancelled()) {
         waitsFor(j + (ledger.job(j).held() ? " is held itself" : " is not done"));
         jobs(left);
         return;
@@ -526,7 +526,7 @@
         Fold f = e.getValue();
         Fate fate = f.settled() ? Fate.DONE : fates.get(f.job());
         String game = "game " + number + " of " + g.league() + " for " + e.getKey().member();
-        if (fate == Fate.WITHDRAWN && f.base() == null) {
+        if (fate == Fate.CANCELLED && f.base() == null) {
           waitsFor(game + " was released by " + f.job());
         } else if (fate == Fate.OPEN) {
           waitsFor(game + " is not folded yet by " + f.job());
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -33,7 +33,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One term of office: takes over, then places tasks, answers workers and sizes the fleet. */
+/** One term of leadership: takes over, then places tasks, answers workers and sizes the fleet. */
 final class Leader {
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
   private static final long FIRM_MS = 2_800;
@@ -215,7 +215,8 @@
         new HoldKeeper(
             loop, state, ledger, folding, mark, this::advance, () -> election.stepDown());
     this.folds = new FoldKeeper(loop, state, folding, writes, maxOps, mark);
-    this.records = new RecordReader(loop, state, site, ledger, committer, view, new Readers());
+    this.records =
+        new RecordReader(loop, state, site, ledger, committer, view, new RecordListener());
     this.fleet =
         new FleetManager(
             loop,
@@ -228,7 +229,7 @@
             maxOps,
             term,
             mark,
-            new FleetManager.Office() {
+            new FleetManager.Listener() {
               @Override
               public boolean firm() {
                 return Leader.this.firm();
@@ -251,7 +252,7 @@
             });
   }
 
-  private final class Readers implements RecordReader.Office {
+  private final class RecordListener implements RecordReader.Listener {
     @Override
     public void taken(int count, List<Item> hire) {
       Leader.this.taken(count, hire);
@@ -395,7 +396,7 @@
     load.lagMs = Math.max(load.lagMs, now - load.tickedMs - TICK_MS);
     load.tickedMs = now;
     if (cutFromWorkers(now)) {
-      // Nobody else can end this office: its lease is renewed, and no worker can carry a higher
+      // Nobody else can end this leadership: its lease is renewed, and no worker can carry a higher
       // term to it. Meanwhile the workers' leases run out at the nodes that send them here.
       LOG.warn("event=workers_not_heard term={} ms={}", term, now - heardMs);
       election.resign();
@@ -497,7 +498,7 @@
 
   /**
    * True when there are machines and not one of them has reported for over a report's time. Where
-   * none ever did in this term, a handful may rather all be dead: then the office is kept until
+   * none ever did in this term, a handful may rather all be dead: then the leadership is kept until
    * they are returned, or their tasks would never be proven gone.
    */
   private boolean cutFromWorkers(long now) {
@@ -519,7 +520,7 @@
   /** Told, by whoever learnt it: never needed for a rule, and it saves work. */
   void cancelled(String id) {
     Job job = job(id);
-    if (job != null && !job.withdrawn() && !job.ended() && !ledger.ending().contains(job)) {
+    if (job != null && !job.cancelled() && !job.ended() && !ledger.ending().contains(job)) {
       LOG.info("event=cancellation_told job={} view_ms={}", id, viewMs());
       committer.cancelled(job);
       advance();
@@ -562,7 +563,7 @@
     long now = loop.now();
     responder.turn(now);
     if (stopped) {
-      reply.accept(null); // Held since before the office ended.
+      reply.accept(null); // Held since before the leadership ended.
       return;
     }
     if (!loaded) {
@@ -632,7 +633,7 @@
     }
   }
 
-  /** What the office does, for the log: how near the machine is to its limit. */
+  /** What the leadership does, for the log: how near the machine is to its limit. */
   private final class Load {
     private long tickedMs;
     private long lagMs;
--- a/src/main/java/org/mallowroad/controller/LinkDuties.java
+++ b/src/main/java/org/mallowroad/controller/LinkDuties.java
@@ -82,14 +82,14 @@
   private final LogLimiter lines = new LogLimiter(20, 10_000);
   private Election election;
   private WorkerClient workers;
-  private Office office;
+  private Listener listener;
   private int carrying;
   private boolean probing;
   private long directMs = Long.MIN_VALUE / 2;
   private long carriedMs = Long.MIN_VALUE / 2;
 
   /** The node that has these duties. */
-  interface Office {
+  interface Listener {
     /** True while this node leads. */
     boolean leading();
 
@@ -148,10 +148,10 @@
   }
 
   /** Begins. */
-  void start(Election e, WorkerClient w, Office o) {
+  void start(Election e, WorkerClient w, Listener o) {
     election = e;
     workers = w;
-    office = o;
+    listener = o;
     loop.every(BEAT_MS, this::beat);
     loop.after(FIRST_ROW_MS, () -> loop.every(policy.rowMs(), this::tell));
   }
@@ -179,7 +179,7 @@
   }
 
   private void tell() {
-    boolean leads = office.leading();
+    boolean leads = listener.leading();
     // A leader's own term, not the tokens within it that single workers have.
     long term = leads ? election.leaderTerm() : election.seenTerm();
     forwarding.tell(links.own(term, leads, loop.now()));
@@ -194,7 +194,7 @@
       probe(stateDirect, "/kv/" + Election.LEADER, state, true);
     }
     // Only the leader uses the cloud, and no detour is needed where nothing is asked.
-    if (cloud.probeDue(now) && office.leading()) {
+    if (cloud.probeDue(now) && listener.leading()) {
       probe(cloudDirect, CloudApi.TYPES, cloud, false);
     }
     for (Links.Change c : links.changes()) {
@@ -366,7 +366,7 @@
         return;
       }
       election.sawTerm(r.token());
-      if (!office.leading() || peer < 0) {
+      if (!listener.leading() || peer < 0) {
         String leader = election.leader();
         if (leader == null || leader.equals(settings.node())) {
           answer.answered(503, Json.bytes(Json.object().put(Fields.ERROR, "no leader known")));
@@ -376,7 +376,7 @@
         return;
       }
       heard(r, false);
-      office.report(
+      listener.report(
           r,
           peer,
           orders -> {
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -151,7 +151,7 @@
             s.node(),
             s.node().hashCode(),
             () -> links == null ? 0 : links.handicapMs(),
-            new Office());
+            new ElectionListener());
     this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(host, s.members(), new NodePeers());
     this.cancellations = new CancellationDuties(loop, s, peers);
@@ -205,7 +205,7 @@
     types();
     types.start();
     if (links != null) {
-      links.start(election, workers, new LinkOffice());
+      links.start(election, workers, new LinkListener());
     }
     election.start();
     loop.every(
@@ -225,7 +225,7 @@
     }
   }
 
-  private final class LinkOffice implements LinkDuties.Office {
+  private final class LinkListener implements LinkDuties.Listener {
     @Override
     public boolean leading() {
       return leader != null;
@@ -454,7 +454,7 @@
     }
   }
 
-  private final class Office implements Election.Listener {
+  private final class ElectionListener implements Election.Listener {
     @Override
     public void elected(long term, long mark) {
       leader =
--- a/src/main/java/org/mallowroad/controller/RecordReader.java
+++ b/src/main/java/org/mallowroad/controller/RecordReader.java
@@ -26,7 +26,7 @@
 
 /**
  * Reads the records that a term begins with into its ledger, a few in a turn of the loop, and from
- * then on follows open jobs, which any node may record or withdraw.
+ * then on follows open jobs, which any node may record or cancel.
  */
 final class RecordReader {
   private static final Logger LOG = LoggerFactory.getLogger(RecordReader.class);
@@ -55,11 +55,11 @@
   private final Ledger ledger;
   private final Committer committer;
   private final CancellationView view;
-  private final Office office;
+  private final Listener listener;
   private boolean stopped;
 
   /** What the leader must hear of. */
-  interface Office {
+  interface Listener {
     /** All records are read: so many of runs, and these of rental requests. */
     void taken(int count, List<Item> hire);
 
@@ -83,14 +83,14 @@
       Ledger ledger,
       Committer committer,
       CancellationView view,
-      Office office) {
+      Listener listener) {
     this.loop = loop;
     this.state = state;
     this.site = site;
     this.ledger = ledger;
     this.committer = committer;
     this.view = view;
-    this.office = office;
+    this.listener = listener;
   }
 
   void stop() {
@@ -206,7 +206,7 @@
       }
       // Of jobs that are over as well: restoreOver has read how each of them ended.
       view.answered(sentMs).applied();
-      office.taken(run.size() + shared.size(), hire);
+      listener.taken(run.size() + shared.size(), hire);
       follow(revision);
     }
   }
@@ -283,7 +283,7 @@
         } else if (v != null) {
           JobSpec spec = Records.spec(v.get("open"), site.codec);
           if (spec.team() >= 0) {
-            ledger.withdraw(ledger.accept(spec, 0, 0, loop.now()), loop.now());
+            ledger.cancel(ledger.accept(spec, 0, 0, loop.now()), loop.now());
           }
         }
       } catch (BadMessage e) {
@@ -329,7 +329,7 @@
       Machine m = ledger.meet(a.machine(), type, zone, a.spot(), loop.now());
       ledger.restoreAttempt(job, a.task(), a.number(), m, a.session(), loop.now());
     }
-    if (job.withdrawn()) {
+    if (job.cancelled()) {
       ledger.redo(c, loop.now());
     }
   }
@@ -341,7 +341,8 @@
         LOG.error("event=team_unknown job={}", spec.id());
         return;
       }
-      office.opened(ledger.accept(spec, i.mark(), loop.wallMs() - spec.submittedMs(), loop.now()));
+      listener.opened(
+          ledger.accept(spec, i.mark(), loop.wallMs() - spec.submittedMs(), loop.now()));
     } catch (BadMessage e) {
       LOG.error("event=record_unreadable key={} reason=\"{}\"", i.key(), e.getMessage());
     }
@@ -367,7 +368,7 @@
           CancellationView.Reading reading = view.answered(sentMs);
           for (Item e : events) {
             if (e.value() != null) {
-              office.accepted();
+              listener.accepted();
               opened(e);
             } else {
               closed(e.key().substring(Records.OPEN.length()), reading);
@@ -375,7 +376,7 @@
           }
           reading.applied();
           if (!events.isEmpty()) {
-            office.changed();
+            listener.changed();
           }
           follow(revision);
         });
@@ -384,14 +385,14 @@
   /** The view is no newer than how the job ended: until that is read, nothing of it is stopped. */
   private void closed(String id, CancellationView.Reading reading) {
     Job job = ledger.job(id);
-    if (job != null && !job.withdrawn() && !ledger.ending().contains(job)) {
-      office.cancelled();
+    if (job != null && !job.cancelled() && !ledger.ending().contains(job)) {
+      listener.cancelled();
       reading.waitsForOneMore();
       committer.reread(
           job,
           () -> {
             reading.applied();
-            office.changed();
+            listener.changed();
           });
     }
   }
@@ -426,7 +427,7 @@
             }
           }
           reading.applied();
-          office.changed();
+          listener.changed();
           follow(revision);
         });
   }
--- a/src/main/java/org/mallowroad/controller/Sketcher.java
+++ b/src/main/java/org/mallowroad/controller/Sketcher.java
@@ -112,7 +112,7 @@
   }
 
   private Sketch sketch(Leader l) {
-    Supply supply = new Office(l);
+    Supply supply = new LeaderSupply(l);
     return new Sketch(
         l.ledger(),
         supply,
@@ -166,10 +166,10 @@
         full ? sketch.reasons() : List.of());
   }
 
-  private final class Office implements Supply {
+  private final class LeaderSupply implements Supply {
     private final Leader leader;
 
-    Office(Leader leader) {
+    LeaderSupply(Leader leader) {
       this.leader = leader;
     }
 
--- a/src/main/java/org/mallowroad/controller/TypesKeeper.java
+++ b/src/main/java/org/mallowroad/controller/TypesKeeper.java
@@ -18,7 +18,7 @@
 /**
  * The machine types outlive the processes that learnt them. A node that starts while the cloud is
  * away would otherwise know none: it could judge no submission, and as leader read no attempt and
- * stop no withdrawn task (docs/incidents, leader-without-types). Prices in the record are as old as
+ * stop no cancelled task (docs/incidents, leader-without-types). Prices in the record are as old as
  * it is; the cloud's own answer replaces them.
  */
 final class TypesKeeper {
--- a/src/main/java/org/mallowroad/core/Chunk.java
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -41,7 +41,7 @@
 
   /** True when nothing of it will be on record any more: its job is over and nothing runs. */
   public boolean finished() {
-    return (job.withdrawn || job.ended) && !hasLive();
+    return (job.cancelled || job.ended) && !hasLive();
   }
 
   /** First task of the chunk. */
--- a/src/main/java/org/mallowroad/core/Job.java
+++ b/src/main/java/org/mallowroad/core/Job.java
@@ -68,8 +68,8 @@
   /** When it was submitted, on this process's steady clock. */
   final long submittedMs;
 
-  /** True once the user's withdrawal is known; nothing is launched from then on. */
-  boolean withdrawn;
+  /** True once the user's cancellation is known; nothing is launched from then on. */
+  boolean cancelled;
 
   /** True once the job's end is recorded. */
   boolean ended;
@@ -227,12 +227,12 @@
 
   /** True while tasks wait and may be started. */
   public boolean waiting() {
-    return !held && !withdrawn && !ended && !pending.isEmpty();
+    return !held && !cancelled && !ended && !pending.isEmpty();
   }
 
-  /** True once the user's withdrawal is known. */
-  public boolean withdrawn() {
-    return withdrawn;
+  /** True once the user's cancellation is known. */
+  public boolean cancelled() {
+    return cancelled;
   }
 
   /** True once the job's end is recorded as done. */
@@ -242,6 +242,6 @@
 
   /** True when nothing of an ended job is left on any machine. */
   public boolean finished() {
-    return (withdrawn || ended) && liveCount == 0;
+    return (cancelled || ended) && liveCount == 0;
   }
 }
--- a/src/main/java/org/mallowroad/core/JobSpec.java
+++ b/src/main/java/org/mallowroad/core/JobSpec.java
@@ -5,7 +5,7 @@
 /**
  * What a user submitted, with names as dense indices.
  *
- * @param service replicas that run until the job is withdrawn
+ * @param service replicas that run until the job is cancelled
  * @param gang tasks that run only all together
  * @param types bit set of allowed type indices, or null for any
  * @param zone the only allowed zone, or -1
--- a/src/main/java/org/mallowroad/core/Ledger.java
+++ b/src/main/java/org/mallowroad/core/Ledger.java
@@ -342,7 +342,7 @@
       machine.session = session;
       machine.seq = 0;
     }
-    if (job.withdrawn) {
+    if (job.cancelled) {
       stop(a, 0, now);
     }
   }
@@ -353,7 +353,7 @@
    */
   public void restored(Job job, long now) {
     rebuildPending(job);
-    if (!job.withdrawn && job.allDone()) {
+    if (!job.cancelled && job.allDone()) {
       job.allDoneMs = now;
       ending.add(job);
     }
@@ -361,7 +361,7 @@
 
   private void rebuildPending(Job job) {
     job.pending.clear();
-    if (job.withdrawn || job.ended) {
+    if (job.cancelled || job.ended) {
       return;
     }
     requeued += job.spec.tasks();
@@ -372,12 +372,12 @@
     }
   }
 
-  /** The user withdrew the job: nothing of it starts any more, and what runs is stopped. */
-  public void withdraw(Job job, long now) {
-    if (job.withdrawn || job.ended) {
+  /** The user cancelled the job: nothing of it starts any more, and what runs is stopped. */
+  public void cancel(Job job, long now) {
+    if (job.cancelled || job.ended) {
       return;
     }
-    job.withdrawn = true;
+    job.cancelled = true;
     over(job, now);
   }
 
@@ -481,7 +481,7 @@
   /** The one place that decides whether a task may start on a machine: null when it may. */
   public Refusal mayStart(Job job, int task, Machine m, long now) {
     JobSpec s = job.spec;
-    if (job.withdrawn || job.ended || job.held) {
+    if (job.cancelled || job.ended || job.held) {
       return Refusal.OVER;
     }
     if (job.done.get(task) || job.live[task] != null) {
@@ -622,7 +622,7 @@
       }
       job.done.set(a.task);
       job.failures = 0;
-      if (!job.withdrawn && job.allDone()) {
+      if (!job.cancelled && job.allDone()) {
         job.allDoneMs = now;
         ending.add(job);
       }
@@ -645,7 +645,7 @@
       case NO_ROOM -> a.machine.coolUntilMs = now + 3000;
       default -> {}
     }
-    if (!job.withdrawn && !job.ended) {
+    if (!job.cancelled && !job.ended) {
       if (job.pending.isEmpty()) {
         job.waitingSinceMs = now;
       }
--- a/src/main/java/org/mallowroad/core/Placement.java
+++ b/src/main/java/org/mallowroad/core/Placement.java
@@ -96,7 +96,7 @@
     double[] cards = new double[ledger.teams().size()];
     List<Job> open = new ArrayList<>();
     for (Job j : ledger.jobs()) {
-      if (!j.withdrawn && !j.ended && !j.held) {
+      if (!j.cancelled && !j.ended && !j.held) {
         open.add(j);
       }
     }
--- a/src/main/java/org/mallowroad/core/Served.java
+++ b/src/main/java/org/mallowroad/core/Served.java
@@ -101,7 +101,7 @@
         new Object2ObjectLinkedOpenHashMap<>();
     byClass.forEach((n, s) -> due.put(n, new ArrayList<>(s.begun)));
     for (Job j : open) {
-      if (j.withdrawn() || j.held()) {
+      if (j.cancelled() || j.held()) {
         continue; // A held job waits for others by its user's word.
       }
       boolean inTime = j.begunMs() >= 0 && j.begunMs() - j.sinceMs() <= BEGIN_MS;
--- a/src/main/java/org/mallowroad/core/SharedRecord.java
+++ b/src/main/java/org/mallowroad/core/SharedRecord.java
@@ -35,7 +35,7 @@
     members.remove(c);
     // A next leader would restore a cancelled job's attempts, and wait for proof that they are
     // gone; a done job's it ignores.
-    outdated |= c.job.withdrawn;
+    outdated |= c.job.cancelled;
   }
 
   /** True when it is to be written or deleted although no member of it has changed. */
--- a/src/main/java/org/mallowroad/core/explain/Explainer.java
+++ b/src/main/java/org/mallowroad/core/explain/Explainer.java
@@ -253,11 +253,11 @@
   }
 
   private Finding find(Job job) {
-    if (job.ended() || (job.withdrawn() && job.liveCount() == 0)) {
+    if (job.ended() || (job.cancelled() && job.liveCount() == 0)) {
       return null;
     }
     Counts c = counts.get(job);
-    if (job.held() && !job.withdrawn()) {
+    if (job.held() && !job.cancelled()) {
       return plain(job, Reason.HELD_BY_TIES, job.holdText);
     }
     if (!job.waiting()) {
--- a/src/main/java/org/mallowroad/core/explain/Supply.java
+++ b/src/main/java/org/mallowroad/core/explain/Supply.java
@@ -5,7 +5,7 @@
 import org.mallowroad.core.Fleet.Variant;
 import org.mallowroad.core.MachineType;
 
-/** What the explanation asks of the office beyond ledger and placement. */
+/** What the explanation asks of the leadership beyond ledger and placement. */
 public interface Supply {
   /** Machines rented and not yet reporting. */
   List<Coming> coming(long now);
--- a/src/main/java/org/mallowroad/core/fold/Claims.java
+++ b/src/main/java/org/mallowroad/core/fold/Claims.java
@@ -13,7 +13,7 @@
  *
  * <p><b>Why this holds whatever happens between reading and writing.</b> The blocks are written
  * under the marks they were read with, so what is decided here is decided about them as they are. A
- * fate enters a decision to grant or to refuse only where it is final (done, withdrawn); one that
+ * fate enters a decision to grant or to refuse only where it is final (done, cancelled); one that
  * may still change makes the claim wait. So a decision that is right when it is made stays right.
  */
 public final class Claims {
@@ -87,7 +87,7 @@
       }
       switch (fate) {
         case DONE -> now = now.asSettled();
-        case WITHDRAWN -> now = now.base();
+        case CANCELLED -> now = now.base();
         default -> {
           waits = "folds: " + name(g, member) + " is held by " + now.job();
           return;
@@ -118,11 +118,11 @@
    * when there are none. Only for a job that can never be done any more.
    */
   public static Block without(Block block, String job) {
-    return rewritten(block, f -> f.job().equals(job) ? Fate.WITHDRAWN : null);
+    return rewritten(block, f -> f.job().equals(job) ? Fate.CANCELLED : null);
   }
 
   /**
-   * The block with all that is final written down: what done jobs claimed is folded, what withdrawn
+   * The block with all that is final written down: what done jobs claimed is folded, what cancelled
    * ones claimed is gone; the same object when nothing is. What a side means is not changed by it,
    * since it follows from final fates alone: so it may be done at any time, by anybody, or never.
    */
@@ -135,7 +135,7 @@
     for (Map.Entry<Block.Side, Fold> e : List.copyOf(block.sides().entrySet())) {
       Fold f = e.getValue();
       Fate fate = f.settled() ? null : fates.apply(f);
-      if (fate == Fate.DONE || fate == Fate.WITHDRAWN) {
+      if (fate == Fate.DONE || fate == Fate.CANCELLED) {
         out = out == block ? block.copy() : out;
         out.set(e.getKey(), fate == Fate.DONE ? f.asSettled() : f.base());
       }
--- a/src/main/java/org/mallowroad/core/fold/Fate.java
+++ b/src/main/java/org/mallowroad/core/fold/Fate.java
@@ -8,6 +8,6 @@
   OPEN,
   /** Done: what it claims is folded. Final. */
   DONE,
-  /** Withdrawn: what it claims is nobody's. Final. */
-  WITHDRAWN
+  /** Cancelled: what it claims is nobody's. Final. */
+  CANCELLED
 }
--- a/src/main/java/org/mallowroad/core/fold/LeagueIndex.java
+++ b/src/main/java/org/mallowroad/core/fold/LeagueIndex.java
@@ -43,7 +43,7 @@
       Fate fate = f.settled() ? Fate.DONE : fates.apply(f.job());
       if (fate == Fate.DONE) {
         folded.add(game);
-      } else if (fate == Fate.WITHDRAWN) {
+      } else if (fate == Fate.CANCELLED) {
         (f.base() == null ? released : folded).add(game);
       } else {
         claimed.add(game);
--- a/src/main/java/org/mallowroad/election/Election.java
+++ b/src/main/java/org/mallowroad/election/Election.java
@@ -33,11 +33,11 @@
   private static final long RENEW_TIMEOUT_MS = 1_000;
   private static final long WATCH_MS = 10_000;
 
-  /** After it gave the office up, a node lets the others have it first. */
+  /** After it gave the leadership up, a node lets the others have it first. */
   private static final long REST_MS = 6_000;
 
   /**
-   * A node whose process before this one ended in office lets the others go first for so long: it
+   * A node whose process before this one ended as leader lets the others go first for so long: it
    * knows nothing yet, its code is cold, and what ended that one may end this one there as well.
    */
   private static final long YIELD_MS = 400;
@@ -71,7 +71,7 @@
   private long yieldUntilMs = Long.MIN_VALUE;
   private Loop.Timer renewal;
 
-  /** Told of this node's own office. */
+  /** Told of this node's own leadership. */
   public interface Listener {
     /** This node leads from now on. */
     void elected(long term, long mark);
@@ -196,9 +196,9 @@
   }
 
   /**
-   * The office is held under this node's name and not by this process: by one before it, or by a
-   * campaign of its own that was given up. Nobody acts in it, so its lease is ended and need not be
-   * waited for. Ending a lease can only depose; and what the process before has still on its way
+   * The leadership is held under this node's name and not by this process: by one before it, or by
+   * a campaign of its own that was given up. Nobody acts in it, so its lease is ended and need not
+   * be waited for. Ending a lease can only depose; and what the process before has still on its way
    * fails from then on, since the key that its conditions name is gone.
    */
   private void predecessor(long of) {
@@ -271,7 +271,7 @@
         });
   }
 
-  /** The campaign is over without an office. */
+  /** The campaign is over without a leadership. */
   private void over() {
     campaigning = false;
     standing = 0;
@@ -305,8 +305,8 @@
 
   /**
    * A node that stood still while it was elected reads of it late: its lease may be over and
-   * another elected since. Then the lease is asked for first, and an office that is over is never
-   * begun.
+   * another elected since. Then the lease is asked for first, and a leadership that is over is
+   * never begun.
    */
   private void confirm(long newTerm, long newMark, long id, long sent) {
     if (loop.now() - sent < LIFE_MS) {
@@ -369,7 +369,7 @@
         });
   }
 
-  /** Gives the office up although its lease holds: another node may serve better. */
+  /** Gives the leadership up although its lease holds: another node may serve better. */
   public void resign() {
     if (!leading) {
       return;
@@ -380,7 +380,7 @@
     state.release(of);
   }
 
-  /** Gives the office up: a write failed on the leader's mark, or a higher term showed. */
+  /** Gives the leadership up: a write failed on the leader's mark, or a higher term showed. */
   public void stepDown() {
     if (!leading) {
       return;
@@ -404,7 +404,7 @@
     }
   }
 
-  /** A token was seen in a message: one beyond this node's own term ends its office. */
+  /** A token was seen in a message: one beyond this node's own term ends its leadership. */
   public void sawTerm(long other) {
     seenTerm = Math.max(seenTerm, other);
     if (leading && other > Term.last(term)) {
--- a/src/main/java/org/mallowroad/state/Records.java
+++ b/src/main/java/org/mallowroad/state/Records.java
@@ -161,7 +161,7 @@
     return codec.decode(job, value.path("at").asLong());
   }
 
-  /** An end record: done, or withdrawn with the job, whose tasks may still be on machines. */
+  /** An end record: done, or cancelled with the job, whose tasks may still be on machines. */
   public static ObjectNode endValue(boolean done, int tasks, JsonNode openValue) {
     ObjectNode o = Json.object();
     o.put("end", done ? Fields.DONE : Fields.WITHDRAWN);
--- a/src/main/java/org/mallowroad/worker/ReportApi.java
+++ b/src/main/java/org/mallowroad/worker/ReportApi.java
@@ -25,7 +25,7 @@
 
   /** What the node does with reports. */
   public interface Reports {
-    /** A token in a report: a higher one than this node's ends its office. */
+    /** A token in a report: a higher one than this node's ends its leadership. */
     void sawToken(long token);
 
     /** True while this node leads. */
--- a/src/main/java/org/mallowroad/world/Checker.java
+++ b/src/main/java/org/mallowroad/world/Checker.java
@@ -48,8 +48,8 @@
   private static final class Job {
     private final Submitted spec;
     private boolean accepted;
-    private boolean withdrawAsked;
-    private long withdrawnMs = -1;
+    private boolean cancelAsked;
+    private long cancelledMs = -1;
     private long doneMs = -1;
     private long askedMs = -1;
     private long answeredMs = -1;
@@ -113,13 +113,13 @@
     jobs.put(s.id(), new Job(s));
   }
 
-  /** A user is about to ask for its withdrawal. */
-  public void withdraws(String id) {
+  /** A user is about to ask for its cancellation. */
+  public void cancels(String id) {
     Job j = jobs.get(id);
     if (j.doneMs >= 0) {
       j.answeredMs = now.getAsLong(); // Nobody has asked since its user was told.
     }
-    j.withdrawAsked = true;
+    j.cancelAsked = true;
     note(jobs.get(id), "withdrawal asked");
   }
 
@@ -145,7 +145,7 @@
     }
   }
 
-  /** A user got an answer to a question or a withdrawal that was sent then. */
+  /** A user got an answer to a question or a cancellation that was sent then. */
   public void told(String id, int status, String standing, long sentMs) {
     Job j = jobs.get(id);
     if (j == null) {
@@ -164,13 +164,13 @@
       }
       // However others fare, from the last trouble on.
       long calm = now.getAsLong() - Math.max(calmMs, Math.max(j.askedMs, j.answeredMs));
-      if (j.accepted && j.askedMs >= 0 && !j.withdrawAsked && calm >= FORGOTTEN_AFTER_MS) {
+      if (j.accepted && j.askedMs >= 0 && !j.cancelAsked && calm >= FORGOTTEN_AFTER_MS) {
         breach(j, "forgotten", id + " had no answer for " + calm + " ms after all troubles");
       }
-      if (calm > 0 && j.doneMs < 0 && j.withdrawnMs < 0) {
+      if (calm > 0 && j.doneMs < 0 && j.cancelledMs < 0) {
         recoveryMs = Math.max(recoveryMs, calm);
       }
-      if (j.askedMs >= 0 && j.doneMs < 0 && j.withdrawnMs < 0) {
+      if (j.askedMs >= 0 && j.doneMs < 0 && j.cancelledMs < 0) {
         longestMs = Math.max(longestMs, gap);
       }
       j.answeredMs = now.getAsLong();
@@ -180,7 +180,7 @@
 
   private void told(Job j, String standing, long sentMs) {
     if (standing.equals("done")) {
-      if (j.withdrawnMs >= 0) {
+      if (j.cancelledMs >= 0) {
         breach(j, "went_back", j.spec.id + " was withdrawn and is done");
       }
       if (j.completed.size() < j.spec.tasks) {
@@ -191,15 +191,15 @@
         note(j, "told done");
       }
     } else if (standing.equals("withdrawn")) {
-      if (j.doneMs >= 0 || !j.withdrawAsked) {
+      if (j.doneMs >= 0 || !j.cancelAsked) {
         breach(j, "went_back", j.spec.id + " is called withdrawn");
       }
-      if (j.withdrawnMs < 0) {
-        j.withdrawnMs = now.getAsLong();
+      if (j.cancelledMs < 0) {
+        j.cancelledMs = now.getAsLong();
         note(j, "told withdrawn");
       }
     } else if ((j.doneMs >= 0 && j.doneMs < sentMs)
-        || (j.withdrawnMs >= 0 && j.withdrawnMs < sentMs)) {
+        || (j.cancelledMs >= 0 && j.cancelledMs < sentMs)) {
       // What was asked before somebody was told may be answered as it was then.
       breach(j, "went_back", j.spec.id + " was over and is " + standing);
     }
@@ -229,7 +229,7 @@
 
   /** Jobs whose users were told that they are cancelled. */
   int cancelled() {
-    return (int) jobs.values().stream().filter(j -> j.withdrawnMs >= 0).count();
+    return (int) jobs.values().stream().filter(j -> j.cancelledMs >= 0).count();
   }
 
   /** Jobs whose users were told that they are done. */
@@ -246,7 +246,7 @@
   Map<String, Set<String>> running() {
     Map<String, Set<String>> out = new TreeMap<>();
     for (Job j : jobs.values()) {
-      if (j.accepted && !j.withdrawAsked && j.doneMs < 0 && !j.on.isEmpty()) {
+      if (j.accepted && !j.cancelAsked && j.doneMs < 0 && !j.on.isEmpty()) {
         out.put(j.spec.id, new TreeSet<>(j.on.values()));
       }
     }
@@ -257,7 +257,7 @@
   Map<Submitted, Set<Integer>> unfinishedJobs() {
     Map<Submitted, Set<Integer>> out = new LinkedHashMap<>();
     for (Job j : jobs.values()) {
-      if (j.accepted && !j.withdrawAsked && j.doneMs < 0 && j.withdrawnMs < 0) {
+      if (j.accepted && !j.cancelAsked && j.doneMs < 0 && j.cancelledMs < 0) {
         out.put(j.spec, j.completed);
       }
     }
@@ -283,7 +283,7 @@
   /** True when its user was told an end. */
   boolean told(String id) {
     Job j = jobs.get(id);
-    return j != null && (j.doneMs >= 0 || j.withdrawnMs >= 0);
+    return j != null && (j.doneMs >= 0 || j.cancelledMs >= 0);
   }
 
   /** True when its user was told that it is accepted. */
@@ -301,8 +301,8 @@
     if (other != null) {
       breach(j, "ran_twice", task + " starts on " + machine + " and is on " + other);
     }
-    cancelledStarts += j.withdrawnMs >= 0 ? 1 : 0;
-    if (j.withdrawnMs >= 0 && now.getAsLong() > j.withdrawnMs + cancelMs) {
+    cancelledStarts += j.cancelledMs >= 0 ? 1 : 0;
+    if (j.cancelledMs >= 0 && now.getAsLong() > j.cancelledMs + cancelMs) {
       breach(j, "ran_cancelled", task + " starts after its job was withdrawn");
     }
     if (j.spec.zone != null && !j.spec.zone.equals(zone)) {
@@ -333,8 +333,8 @@
   private void off(Job j, String task, String machine, String why) {
     if (j.on.remove(task, machine)) {
       note(j, why + " " + task + " on " + machine);
-      if (j.withdrawnMs >= 0) {
-        goneMs = Math.max(goneMs, now.getAsLong() - j.withdrawnMs);
+      if (j.cancelledMs >= 0) {
+        goneMs = Math.max(goneMs, now.getAsLong() - j.cancelledMs);
       }
       machines.get(machine).remove(task);
       used.merge(j.spec.team, -j.spec.cpus, Double::sum);
@@ -368,9 +368,9 @@
   /** Once a second: what must be gone by now. */
   public void look() {
     for (Job j : jobs.values()) {
-      if (j.withdrawnMs >= 0 && now.getAsLong() > j.withdrawnMs + cancelMs && !j.on.isEmpty()) {
+      if (j.cancelledMs >= 0 && now.getAsLong() > j.cancelledMs + cancelMs && !j.on.isEmpty()) {
         breach(j, "ran_cancelled", j.on + " long after the withdrawal");
-        j.withdrawnMs = now.getAsLong(); // Said once.
+        j.cancelledMs = now.getAsLong(); // Said once.
       }
     }
   }
@@ -387,11 +387,11 @@
       long from = Math.max(calmMs, Math.max(j.askedMs, j.answeredMs));
       if (j.accepted
           && j.doneMs < 0
-          && j.withdrawnMs < 0
+          && j.cancelledMs < 0
           && now.getAsLong() - from >= FORGOTTEN_AFTER_MS) {
         breach(j, "forgotten", j.spec.id + " has no answer since " + j.answeredMs);
       }
-      if (j.accepted && j.doneMs < 0 && j.withdrawnMs < 0) {
+      if (j.accepted && j.doneMs < 0 && j.cancelledMs < 0) {
         breach(j, "stuck", j.spec.id + " was accepted and has no end; on machines: " + j.on);
       }
     }
@@ -417,7 +417,7 @@
   public Map<String, double[]> served(long servedMs) {
     Map<String, double[]> out = new TreeMap<>();
     for (Job j : jobs.values()) {
-      long over = Math.max(j.doneMs, j.withdrawnMs);
+      long over = Math.max(j.doneMs, j.cancelledMs);
       for (String key : List.of("class " + j.spec.taskClass, "team " + j.spec.team)) {
         double[] of = out.computeIfAbsent(key, k -> new double[2]);
         of[0] += over >= 0 && over - j.spec.ms <= servedMs ? 1 : 0;
@@ -436,7 +436,7 @@
     Map<String, List<Job>> byClass = new TreeMap<>();
     for (Job j : jobs.values()) {
       boolean due = j.begunMs >= 0 || now.getAsLong() - j.spec.ms > BEGIN_MS;
-      if (j.accepted && !j.withdrawAsked && due) {
+      if (j.accepted && !j.cancelAsked && due) {
         byClass.computeIfAbsent("largest " + j.spec.taskClass, k -> new ArrayList<>()).add(j);
       }
     }
@@ -458,7 +458,7 @@
   public int unfinished() {
     int n = 0;
     for (Job j : jobs.values()) {
-      n += j.accepted && j.doneMs < 0 && j.withdrawnMs < 0 ? 1 : 0;
+      n += j.accepted && j.doneMs < 0 && j.cancelledMs < 0 ? 1 : 0;
     }
     return n;
   }
--- a/src/main/java/org/mallowroad/world/RatingModel.java
+++ b/src/main/java/org/mallowroad/world/RatingModel.java
@@ -88,7 +88,7 @@
     fold("job-899999", 5_000 + random.nextLong(30_000), FROM_LARGE, LARGE, 1, false);
   }
 
-  private void fold(String id, long at, int from, int games, long revision, boolean withdrawn) {
+  private void fold(String id, long at, int from, int games, long revision, boolean cancelled) {
     ObjectNode ties = Json.object();
     ArrayNode folds = ties.putArray(FoldCodec.FOLDS);
     List<Want> want = new ArrayList<>();
@@ -102,7 +102,7 @@
       }
     }
     wants(id, want);
-    submit(id, at, ties, withdrawn ? 500 + random.nextLong(9_000) : 0);
+    submit(id, at, ties, cancelled ? 500 + random.nextLong(9_000) : 0);
   }
 
   private void print(String id, long at, int i, int game) {
@@ -121,16 +121,16 @@
       g.put("up_to", game).put("member", "m-" + game % 7);
     }
     prints(id, jobs);
-    // Nobody waits for ever for what was withdrawn or refused: then the print is withdrawn as well.
+    // Nobody waits for ever for what was cancelled or refused: then the print is cancelled as well.
     submit(id, at, ties, 100_000);
   }
 
-  private void submit(String id, long at, ObjectNode ties, long withdrawAfterMs) {
+  private void submit(String id, long at, ObjectNode ties, long cancelAfterMs) {
     Checker.Submitted s =
         new Checker.Submitted(
             id, "blue", "rating", 1 + random.nextInt(3), 1, null, false, false, at);
     long run = 500 + random.nextLong(4_000);
-    time.after(at * 1000, null, () -> users.job(s, "urgent", run, 300, withdrawAfterMs, ties));
+    time.after(at * 1000, null, () -> users.job(s, "urgent", run, 300, cancelAfterMs, ties));
   }
 
   private Map<BlockKey, Block> blocks() {
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -168,7 +168,7 @@
       looks++;
       lookClosely(s.id());
       if (random.nextInt(CANCEL_ONE_IN) == 0) {
-        time.after(random.nextLong(LOOK_US), this, () -> withdraw(s, time.ms()));
+        time.after(random.nextLong(LOOK_US), this, () -> cancel(s, time.ms()));
       }
     }
   }
@@ -263,13 +263,13 @@
     }
   }
 
-  /** Submits a job now, follows it to its end, and perhaps withdraws it. */
+  /** Submits a job now, follows it to its end, and perhaps cancels it. */
   void job(
       Checker.Submitted s,
       String rank,
       long runMs,
       long fetchMs,
-      long withdrawAfterMs,
+      long cancelAfterMs,
       ObjectNode ties) {
     times.put(s.id(), new long[] {runMs, fetchMs});
     jobs.put(s.id(), s);
@@ -289,8 +289,8 @@
     o.put("cairn_s", 0.0).put("stow_s", 0.0).put("due_s", 60.0);
     bodies.put(s.id(), o);
     submit(s, Json.bytes(o));
-    if (withdrawAfterMs > 0) {
-      time.after(withdrawAfterMs * 1000, this, () -> withdraw(s, time.ms()));
+    if (cancelAfterMs > 0) {
+      time.after(cancelAfterMs * 1000, this, () -> cancel(s, time.ms()));
     }
   }
 
@@ -342,8 +342,8 @@
         });
   }
 
-  private void withdraw(Checker.Submitted s, long sinceMs) {
-    checker.withdraws(s.id());
+  private void cancel(Checker.Submitted s, long sinceMs) {
+    checker.cancels(s.id());
     long sentMs = time.ms();
     ask(
         "POST",
@@ -359,7 +359,7 @@
             lookClosely(s.id());
           }
           if (status != 200 && time.ms() - sinceMs < PATIENCE_MS) {
-            time.after(1_500_000, this, () -> withdraw(s, sinceMs));
+            time.after(1_500_000, this, () -> cancel(s, sinceMs));
           }
         });
   }
@@ -369,7 +369,7 @@
 
   /** Cancels a job, and goes on until it is told an end. */
   void cancel(String id) {
-    withdraw(jobs.get(id), time.ms());
+    cancel(jobs.get(id), time.ms());
   }
 
   /** How long a task of the job runs. */
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -380,8 +380,8 @@
       // A few outlast a cancellation's time, or nothing would show that they are stopped.
       long run = j % 12 == 2 ? 3 * usual + (long) (CANCEL_S * 1000) : usual;
       long fetch = 300 + r.nextLong(1_500);
-      long withdraw = r.nextInt(7) == 0 ? 500 + r.nextLong(25_000) : 0;
-      time.after(at * 1000, null, () -> users.job(s, rank, run, fetch, withdraw, null));
+      long cancel = r.nextInt(7) == 0 ? 500 + r.nextLong(25_000) : 0;
+      time.after(at * 1000, null, () -> users.job(s, rank, run, fetch, cancel, null));
       if (j % 5 == 0) {
         time.after(at * 1000, null, () -> users.stray("job-9" + s.id().substring(5)));
       }
--- a/src/test/java/org/mallowroad/api/FoldingTest.java
+++ b/src/test/java/org/mallowroad/api/FoldingTest.java
@@ -110,7 +110,7 @@
     end(h.c.store, "job-1", true);
     assertEquals(
         "REFUSED folds: game 99 of l for m is folded by job-1", h.accept("job-2", games(99, 120)));
-    // What was withdrawn is nobody's, and the next one takes it.
+    // What was cancelled is nobody's, and the next one takes it.
     assertEquals("ACCEPTED", h.accept("job-3", games(200, 210)));
     end(h.c.store, "job-3", false);
     assertEquals("ACCEPTED", h.accept("job-4", games(205, 215)));
@@ -125,7 +125,7 @@
     end(h.c.store, "job-1", true);
     assertEquals("ACCEPTED", h.accept("job-2", List.of(game(7, 2))));
     end(h.c.store, "job-2", false);
-    // Withdrawn: the first revision counts again, and the correction can come once more.
+    // Cancelled: the first revision counts again, and the correction can come once more.
     assertEquals("ACCEPTED", h.accept("job-3", List.of(game(7, 2))));
     end(h.c.store, "job-3", true);
     assertEquals(
--- a/src/test/java/org/mallowroad/controller/KeptTest.java
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -119,7 +119,7 @@
         Specs.commit(ledger, now);
         if (n % 2 == 0) {
           ledger.resolve(job.live(0), Ledger.Outcome.ERROR, now);
-          ledger.withdraw(job, now);
+          ledger.cancel(job, now);
         }
         for (int t = 0; t < 4; t++) {
           if (job.live(t) != null) {
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -356,13 +356,13 @@
   }
 
   @Test
-  void aWithdrawalAndTheEndExcludeEachOther() throws Exception {
+  void aCancellationAndTheEndExcludeEachOther() throws Exception {
     cloud.taskMs = 200;
     for (int i = 1; i <= 6; i++) {
       String id = "job-00000" + i;
       assertEquals(201, status("POST", "/v1/jobs", job(id, 1, 1)));
       int taken = i;
-      // Some are withdrawn before they start, some about when they end, some afterwards.
+      // Some are cancelled before they start, some about when they end, some afterwards.
       await("a moment", () -> taken < 3 || cloud.running.containsKey(id + "/0") || is(id, "done"));
       Thread.sleep(60L * i);
       String told = send("POST", "/v1/jobs/" + id + "/withdraw", "").body();
@@ -375,7 +375,7 @@
   }
 
   @Test
-  void aWithdrawnJobIsGoneEverywhereAndStaysWithdrawn() throws Exception {
+  void aCancelledJobIsGoneEverywhereAndStaysCancelled() throws Exception {
     cloud.taskMs = 60_000;
     assertEquals(201, status("POST", "/v1/jobs", job("job-000001", 2, 1)));
     await("running tasks", () -> cloud.running.size() == 2);
--- a/src/test/java/org/mallowroad/core/ExplainTest.java
+++ b/src/test/java/org/mallowroad/core/ExplainTest.java
@@ -311,7 +311,7 @@
               w.machines(8);
               return w.job(Specs.array("job-1", 4, 1).gang().scatter().zone(0));
             },
-            w -> w.ledger.withdraw(w.ledger.job("job-1"), w.now)),
+            w -> w.ledger.cancel(w.ledger.job("job-1"), w.now)),
         reason(
             Reason.SLOW_MACHINES,
             "1 machine",
@@ -433,7 +433,7 @@
               w.sketch.begin(w.now);
               assertEquals(false, w.sketch.step(1));
               Job gone = w.ledger.job("job-4");
-              w.ledger.withdraw(gone, w.now);
+              w.ledger.cancel(gone, w.now);
               w.ledger.ended(gone, w.now);
               w.ledger.forget(gone);
               while (!w.sketch.step(1)) {
@@ -484,7 +484,7 @@
       Finding f = w.why(j);
       assertNotNull(f, "no reason for " + j.spec);
       if (f.detail().startsWith("never: ")) {
-        continue; // Its own rules exclude each other, which nothing but its withdrawal ends.
+        continue; // Its own rules exclude each other, which nothing but its cancellation ends.
       }
       without(w, j, f);
       int live = j.liveCount();
--- a/src/test/java/org/mallowroad/core/GatheringTest.java
+++ b/src/test/java/org/mallowroad/core/GatheringTest.java
@@ -214,7 +214,7 @@
               Job job = w.gang("job-1", 3);
               w.begin();
               assertEquals(1, w.held(job));
-              w.ledger.withdraw(job, w.now);
+              w.ledger.cancel(job, w.now);
               w.cycle();
               assertEquals(0, w.held(job));
               assertEquals(0, w.ledger.gathering().size());
--- a/src/test/java/org/mallowroad/core/LedgerTest.java
+++ b/src/test/java/org/mallowroad/core/LedgerTest.java
@@ -287,7 +287,7 @@
               Machine m = w.machine("n-1", 0);
               Job j = w.job("job-1", 1, 1);
               Attempt a = w.start(j, 0, m);
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               w.report(m, 1, TERM - 1);
               assertEquals(Attempt.Phase.READY, a.phase);
               w.report(m, 1, TERM);
@@ -336,7 +336,7 @@
               Job j = w.job("job-1", 2, 4);
               Attempt a = w.start(j, 0, m);
               w.report(m, 1, TERM, World.entry(a, State.RUNNING, null));
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               assertEquals(Ledger.Refusal.OVER, w.ledger.mayStart(j, 1, m, w.now));
               assertEquals(
                   List.of(new Order(Order.Kind.STOP, "job-1", 0, 1, 0)),
@@ -354,7 +354,7 @@
               Attempt a = w.ledger.start(j, 0, m, w.now);
               Chunk c = j.chunk(0);
               long changes = c.changes;
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               w.ledger.committed(c, 9, changes, List.of(a), w.now);
               assertEquals(Attempt.Phase.GONE, a.phase);
               assertEquals(List.of(), w.report(m, 1, TERM));
@@ -485,7 +485,7 @@
               Job j = w.job("job-1", 1, 1);
               w.start(j, 0, m);
               w.ledger.dialogue().direct(m, true, w.now);
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               w.report(m, 1, TERM);
               assertEquals(TERM + 1, m.token);
               assertFalse(j.finished());
@@ -508,7 +508,7 @@
               Job j = w.job("job-1", 1, 1);
               Attempt a = w.start(j, 0, m);
               w.ledger.dialogue().direct(m, true, w.now);
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               w.report(m, 1, TERM);
               w.report(m, 1, TERM);
               assertEquals(Attempt.Phase.READY, a.phase);
--- a/src/test/java/org/mallowroad/core/ServedTest.java
+++ b/src/test/java/org/mallowroad/core/ServedTest.java
@@ -32,7 +32,7 @@
     assertEquals(
         List.of("class c 0.5 1", "team red 0.5 1", "largest c 0.0 0"),
         lines(served, ledger, Served.PATIENCE_MS + 1));
-    ledger.withdraw(ledger.job("job-2"), 0);
+    ledger.cancel(ledger.job("job-2"), 0);
     assertEquals(
         List.of("class c 1.0 0", "team red 1.0 0", "largest c 1.0 0"),
         lines(served, ledger, Served.PATIENCE_MS + 1));
--- a/src/test/java/org/mallowroad/core/StagesTest.java
+++ b/src/test/java/org/mallowroad/core/StagesTest.java
@@ -268,7 +268,7 @@
               w.place();
               w.report(a, WorkerReport.State.RUNNING);
               assertEquals(1, w.ledger.stages().holders(0));
-              w.ledger.withdraw(j, w.now);
+              w.ledger.cancel(j, w.now);
               w.ledger.resolve(j.live(0), Ledger.Outcome.STOPPED, w.now);
               w.job(1, 1);
               w.place();
--- a/src/test/java/org/mallowroad/core/fold/ClaimsTest.java
+++ b/src/test/java/org/mallowroad/core/fold/ClaimsTest.java
@@ -69,13 +69,13 @@
         row("folded", folded, 1, null, "Refused"),
         row("folded, corrected", folded, 2, null, "2 over 1"),
         row("folded in a later revision", by("job-2", 3, true, null), 2, null, "Refused"),
-        row("withdrawn", by("job-2", 1, false, null), 1, Fate.WITHDRAWN, "1 over 0"),
-        row("a correction withdrawn", by("job-3", 2, false, folded), 2, Fate.WITHDRAWN, "2 over 1"),
+        row("withdrawn", by("job-2", 1, false, null), 1, Fate.CANCELLED, "1 over 0"),
+        row("a correction withdrawn", by("job-3", 2, false, folded), 2, Fate.CANCELLED, "2 over 1"),
         row(
             "a correction withdrawn, then the first once more",
             by("job-3", 2, false, folded),
             1,
-            Fate.WITHDRAWN,
+            Fate.CANCELLED,
             "Refused"),
         row("a correction held", by("job-3", 2, false, folded), 3, Fate.OPEN, "Waits"),
         row(
@@ -105,7 +105,7 @@
     b.set(new Block.Side(2, "a"), by("job-5", 1, false, null));
     assertSame(b, Claims.settled(b, j -> Fate.OPEN));
     Map<String, Fate> fates =
-        new HashMap<>(Map.of("job-3", Fate.DONE, "job-4", Fate.WITHDRAWN, "job-5", Fate.WITHDRAWN));
+        new HashMap<>(Map.of("job-3", Fate.DONE, "job-4", Fate.CANCELLED, "job-5", Fate.CANCELLED));
     Block s = Claims.settled(b, fates::get);
     assertEquals(by("job-3", 1, true, null), s.get(new Block.Side(0, "a")));
     assertEquals(folded, s.get(new Block.Side(1, "a")));
@@ -121,14 +121,14 @@
     b.set(new Block.Side(0, "a"), by("job-1", 1, true, null));
     b.set(new Block.Side(2, "a"), by("job-2", 1, false, null));
     b.set(new Block.Side(3, "a"), by("job-3", 1, false, null));
-    Map<String, Fate> fates = new HashMap<>(Map.of("job-2", Fate.OPEN, "job-3", Fate.WITHDRAWN));
+    Map<String, Fate> fates = new HashMap<>(Map.of("job-2", Fate.OPEN, "job-3", Fate.CANCELLED));
     i.take(0, b, fates::get);
     assertEquals(3, i.seenTo());
     assertEquals(List.of(1L, 3L), i.gaps(9));
     assertEquals(2, i.gapCount());
     assertEquals(LeagueIndex.Standing.RELEASED, i.standing(3));
     assertEquals(LeagueIndex.Standing.MISSING, i.standing(1));
-    // Written down, the withdrawn side is gone from the block, and known as released even so.
+    // Written down, the cancelled side is gone from the block, and known as released even so.
     i.take(0, Claims.settled(b, fates::get), fates::get);
     assertEquals(List.of(1L, 3L), i.gaps(9));
     Block far = new Block();
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -58,7 +58,7 @@
 
   /**
    * Found by the first histories with restarts: a late copy of a launch started a cleared attempt
-   * again, and leaders that knew no machine type kept withdrawn tasks alive (docs/incidents).
+   * again, and leaders that knew no machine type kept cancelled tasks alive (docs/incidents).
    */
   @Test
   void whatTheFirstRestartsFoundStaysMended() {
@@ -126,7 +126,7 @@
     }
   }
 
-  /** It hears of no withdrawal and of no other leader; both must reach its machines in time. */
+  /** It hears of no cancellation and of no other leader; both must reach its machines in time. */
   @Test
   void aLeaderThatReachesItsWorkersAloneLetsThemGo() {
     Fault alone = new Fault(Fault.Kind.ALONE, 20_000, 60_000, -1, 0, "a", "refuse", 0, 1);
@@ -372,7 +372,7 @@
             "ran_cancelled",
             "still there",
             t -> {
-              t.checker.withdraws("job-1");
+              t.checker.cancels("job-1");
               t.told("job-1", 200, "withdrawn");
               t.now += 10_001;
               t.checker.look();
@@ -381,7 +381,7 @@
             "ran_cancelled",
             "starts late",
             t -> {
-              t.checker.withdraws("job-1");
+              t.checker.cancels("job-1");
               t.told("job-1", 200, "withdrawn");
               t.checker.machineGone("m1", "died");
               t.now += 10_001;
@@ -460,7 +460,7 @@
   @Test
   void startsAfterTheWordAndHowLongTasksOutlastItAreCounted() {
     Told t = new Told();
-    t.checker.withdraws("job-1");
+    t.checker.cancels("job-1");
     t.told("job-1", 200, "withdrawn");
     t.now += 2_000;
     t.start("job-1/1", "m1", "a");
