--- /dev/null
+++ b/src/main/java/org/mallowroad/api/FoldBlocks.java
@@ -0,0 +1,141 @@
+package org.mallowroad.api;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.mallowroad.core.fold.Block;
+import org.mallowroad.core.fold.BlockKey;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.BadMessage;
+import org.mallowroad.wire.FoldCodec;
+import org.mallowroad.wire.Json;
+
+/** Blocks of games as they are in the state service, with their versions. */
+final class FoldBlocks {
+  /** Blocks that are read at once. */
+  private static final int AT_ONCE = 8;
+
+  private static final int MOST_BYTES = 44 * 1024;
+
+  private final StateStore state;
+  private final int ops;
+  private final Map<BlockKey, Block> blocks = new TreeMap<>();
+  private final Map<BlockKey, Long> marks = new HashMap<>();
+  private String wrong;
+
+  /** Of transactions with at most {@code ops} puts and deletes. */
+  FoldBlocks(StateStore state, int ops) {
+    this.state = state;
+    this.ops = ops;
+  }
+
+  /** The blocks that were read or written. */
+  Map<BlockKey, Block> all() {
+    return blocks;
+  }
+
+  /** Why a record could not be read, or null. */
+  String wrong() {
+    return wrong;
+  }
+
+  /** Reads some anew; {@code no} when the service does not answer, or a record is not ours. */
+  void read(Collection<BlockKey> keys, Runnable next, Runnable no) {
+    ArrayDeque<BlockKey> left = new ArrayDeque<>(keys);
+    int[] out = new int[1];
+    boolean[] over = new boolean[1];
+    Runnable[] more = new Runnable[1];
+    more[0] =
+        () -> {
+          while (!over[0] && out[0] < AT_ONCE && !left.isEmpty()) {
+            BlockKey k = left.poll();
+            out[0]++;
+            state.get(
+                Records.fold(k),
+                (result, item) -> {
+                  out[0]--;
+                  if (over[0]) {
+                    return;
+                  }
+                  if (result != Result.OK || !take(k, item)) {
+                    over[0] = true;
+                    no.run();
+                  } else {
+                    more[0].run();
+                  }
+                });
+          }
+          if (!over[0] && out[0] == 0 && left.isEmpty()) {
+            over[0] = true;
+            next.run();
+          }
+        };
+    more[0].run();
+  }
+
+  private boolean take(BlockKey k, StateStore.Item item) {
+    try {
+      blocks.put(k, FoldCodec.decode(item.value()));
+      marks.put(k, item.mark());
+      return true;
+    } catch (BadMessage e) {
+      wrong = "block " + Records.fold(k) + " cannot be read: " + e.getMessage();
+      return false;
+    }
+  }
+
+  /** Writes blocks under their marks. */
+  void write(Txn txn, Map<BlockKey, Block> some) {
+    some.forEach(
+        (k, b) -> {
+          txn.given(Records.fold(k), marks.get(k));
+          if (b.sides().isEmpty()) {
+            txn.delete(Records.fold(k));
+          } else {
+            txn.put(Records.fold(k), FoldCodec.encode(b));
+          }
+        });
+  }
+
+  /** They were written with that revision. */
+  void written(Map<BlockKey, Block> some, long revision) {
+    some.forEach(
+        (k, b) -> {
+          blocks.put(k, b);
+          marks.put(k, b.sides().isEmpty() ? 0 : revision);
+        });
+  }
+
+  /** As many of the blocks as one transaction takes besides so many other writes. */
+  Map<BlockKey, Block> part(Map<BlockKey, Block> all, int others) {
+    Map<BlockKey, Block> out = new TreeMap<>();
+    int bytes = 0;
+    for (Map.Entry<BlockKey, Block> e : all.entrySet()) {
+      bytes += Json.text(FoldCodec.encode(e.getValue())).length() + 150;
+      if (!out.isEmpty() && (out.size() + others >= ops || bytes > MOST_BYTES)) {
+        break;
+      }
+      out.put(e.getKey(), e.getValue());
+    }
+    return out;
+  }
+
+  /** Those of the keys whose conditions have failed. */
+  List<BlockKey> among(List<String> failed, Collection<BlockKey> keys) {
+    List<BlockKey> out = new ArrayList<>();
+    keys.forEach(
+        k -> {
+          if (failed.isEmpty() || failed.contains(Records.fold(k))) {
+            out.add(k);
+          }
+        });
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mallowroad/api/FoldIntents.java
@@ -0,0 +1,110 @@
+package org.mallowroad.api;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.mallowroad.core.fold.Block;
+import org.mallowroad.core.fold.BlockKey;
+import org.mallowroad.core.fold.Claims;
+import org.mallowroad.net.Loop;
+import org.mallowroad.state.Records;
+import org.mallowroad.state.StateStore;
+import org.mallowroad.state.StateStore.Result;
+import org.mallowroad.state.StateStore.Txn;
+import org.mallowroad.wire.FoldCodec;
+import org.mallowroad.wire.Json;
+
+/** Gives intents up: claims of games that were begun and will not be finished. */
+final class FoldIntents {
+  /** The field of an intent that is being given up. */
+  static final String UNDO = "undo";
+
+  /** A conflict is tried again so much later. */
+  static final long RETRY_MS = 60;
+
+  private final Loop loop;
+  private final StateStore state;
+  private final int ops;
+
+  FoldIntents(Loop loop, StateStore state, int ops) {
+    this.loop = loop;
+    this.state = state;
+    this.ops = ops;
+  }
+
+  /**
+   * Gives an intent up: first it is marked, so that no step of the claim applies any more, then its
+   * claims are taken out, then it goes. Anybody may do it, also twice at once, also from the
+   * middle.
+   *
+   * @param told whether all of it is done; else whoever finds the intent does it again
+   */
+  void undo(String id, long mark, Collection<BlockKey> keys, Consumer<Boolean> told) {
+    ObjectNode v = Json.object();
+    v.put("at", loop.wallMs());
+    v.put(UNDO, true);
+    v.set("blocks", FoldCodec.blocks(keys));
+    state.run(
+        new Txn().given(Records.intent(id), mark).put(Records.intent(id), v),
+        (result, revision, failed) -> {
+          if (result == Result.OK) {
+            takeOut(id, revision, new ArrayDeque<>(keys), told);
+          } else {
+            told.accept(false);
+          }
+        });
+  }
+
+  private void takeOut(String id, long mark, ArrayDeque<BlockKey> left, Consumer<Boolean> told) {
+    if (left.isEmpty()) {
+      state.run(
+          new Txn().given(Records.intent(id), mark).delete(Records.intent(id)),
+          (result, revision, failed) -> told.accept(result == Result.OK));
+      return;
+    }
+    List<BlockKey> some = new ArrayList<>();
+    while (!left.isEmpty() && some.size() < ops) {
+      some.add(left.poll());
+    }
+    FoldBlocks b = new FoldBlocks(state, ops);
+    b.read(
+        some,
+        () -> {
+          Map<BlockKey, Block> changed = new TreeMap<>();
+          b.all()
+              .forEach(
+                  (k, block) -> {
+                    Block without = Claims.without(block, id);
+                    if (without != block) {
+                      changed.put(k, without);
+                    }
+                  });
+          if (changed.isEmpty()) {
+            takeOut(id, mark, left, told);
+            return;
+          }
+          Map<BlockKey, Block> part = b.part(changed, 0);
+          Txn txn = new Txn().given(Records.intent(id), mark);
+          b.write(txn, part);
+          state.run(
+              txn,
+              (result, revision, failed) -> {
+                if (result == Result.OK
+                    || (result == Result.NO && !failed.contains(Records.intent(id)))) {
+                  // What is not done, or was changed by others meanwhile, is read once more.
+                  some.removeAll(result == Result.OK ? part.keySet() : List.of());
+                  left.addAll(some);
+                  loop.after(RETRY_MS, () -> takeOut(id, mark, left, told));
+                } else {
+                  told.accept(false);
+                }
+              });
+        },
+        () -> told.accept(false));
+  }
+}
--- a/src/main/java/org/mallowroad/core/admission/Admission.java
+++ b/src/main/java/org/mallowroad/core/admission/Admission.java
@@ -1,8 +1,8 @@
 package org.mallowroad.core.admission;
 
 /**
- * One node's part of the new jobs while the leader's records lag: additive increase, multiplicative
- * decrease. Without word of a lag everything is admitted.
+ * One node's part of the new jobs while the leader's records lag: it falls by a part while they do,
+ * and rises again once they do not. Without word of a lag everything is admitted.
  *
  * <p>Each accepted job takes several writes later on, and the state service's limit is one for all
  * nodes. Beyond it every further job makes all others later, so new ones are turned away at once,
@@ -17,9 +17,12 @@
 
   private static final double DECREASE = 0.7;
 
-  /** What is added to the rate each second, and the least that is admitted, in jobs a second. */
+  /** The rate rises by so much a second, and by that part of itself where that is more. */
   private static final double INCREASE_PER_S = 0.1;
 
+  private static final double INCREASE_SHARE = 0.25;
+
+  /** The least that is admitted, in jobs a second. */
   private static final double LEAST_PER_S = 0.1;
 
   /** At so many times the offered rate nothing is limited any more. */
@@ -103,7 +106,7 @@
       offeredPerSecond += NEWEST * (offered - offeredPerSecond);
       offered = 0;
       if (limited && secondMs - toldMs > QUIET_MS) {
-        perSecond += INCREASE_PER_S;
+        perSecond += Math.max(INCREASE_PER_S, INCREASE_SHARE * perSecond);
         limited = perSecond < ENOUGH * offeredPerSecond + LEAST_PER_S;
       }
     }
--- a/src/main/java/org/mallowroad/core/admission/RecordLag.java
+++ b/src/main/java/org/mallowroad/core/admission/RecordLag.java
@@ -28,7 +28,7 @@
 
   static final int RECORDING_LEAST = 20;
 
-  static final long RECORDING_MS = 6_000;
+  static final long RECORDING_MS = 10_000;
 
   private long sinceMs = -1;
   private long recordingSinceMs = -1;
