Admission: what waited in an outage counts from its end; eight seconds of refusals count

Cause: after an outage of 10 s each start was 12 s old at once, and rates were lowered on every node. MeetingsTest.overload and AdmissionTest pass; verify green.

--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -381,7 +381,7 @@
 
   private void lookAtLag() {
     boolean before = recordLag.overloaded();
-    recordLag.look(ledger, loop.now());
+    recordLag.look(ledger, firm() && !state.failing(), loop.now());
     if (recordLag.overloaded()) {
       listener.overloaded();
     }
--- a/src/main/java/org/mallowroad/core/admission/Admission.java
+++ b/src/main/java/org/mallowroad/core/admission/Admission.java
@@ -10,7 +10,7 @@
  */
 public final class Admission {
   /** A decrease counts only once in that time, since its effect takes as long to be seen. */
-  static final long STEP_MS = 2_000;
+  static final long STEP_MS = 3_000;
 
   /** After so long without word of a lag the rate rises again. */
   static final long QUIET_MS = 3_000;
@@ -34,7 +34,7 @@
   private static final long SECOND_MS = 1_000;
 
   /** Refusals come with any burst; a service that refuses for longer is overloaded itself. */
-  static final int LASTING_SECONDS = 4;
+  static final int LASTING_SECONDS = 8;
 
   private int refusedSeconds;
   private boolean limited;
--- a/src/main/java/org/mallowroad/core/admission/RecordLag.java
+++ b/src/main/java/org/mallowroad/core/admission/RecordLag.java
@@ -32,11 +32,24 @@
 
   private long sinceMs = -1;
   private long recordingSinceMs = -1;
+  private long servedSinceMs = -1;
   private boolean overloaded;
 
-  /** Call about once a second. */
-  public void look(Ledger ledger, long now) {
-    boolean lags = startsMs(ledger, now) > STARTS_MS || endsMs(ledger, now) > ENDS_MS;
+  /**
+   * Call about once a second.
+   *
+   * @param served whether the state service serves this leader: what waited in an outage waited for
+   *     its end, and counts from then
+   */
+  public void look(Ledger ledger, boolean served, long now) {
+    if (!served || servedSinceMs < 0) {
+      servedSinceMs = now;
+      recordingSinceMs = -1;
+    }
+    long waited = now - servedSinceMs;
+    boolean lags =
+        Math.min(waited, startsMs(ledger, now)) > STARTS_MS
+            || Math.min(waited, endsMs(ledger, now)) > ENDS_MS;
     sinceMs = !lags ? -1 : sinceMs < 0 ? now : sinceMs;
     boolean recording = mostlyRecording(ledger);
     recordingSinceMs = !recording ? -1 : recordingSinceMs < 0 ? now : recordingSinceMs;
