Shared records of starts are written only once every controller has said that it reads them

Cause, by rereading: the command in deploy/service.toml has them on, and in a roll from the landed build an earlier leader would have started again what stands in shared records alone (ran_twice). Change: a leader asks its peers (an earlier build answers 404) and writes the old form until all have answered.

--- a/src/main/java/org/mallowroad/config/RecordPolicy.java
+++ b/src/main/java/org/mallowroad/config/RecordPolicy.java
@@ -2,7 +2,7 @@
 
 /**
  * Which form of records a leader writes. Every build from this one on reads both forms; an earlier
- * one does not know shared records, so they are switched on once no earlier build runs any more.
+ * one does not know shared records, so they are written only once all controllers read them.
  *
  * @param shareStarts whether small jobs share records of their starts
  */
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -143,9 +143,6 @@
     this.responder =
         new FailureResponder(
             ledger, site.zones, site.settings.reportS(), site.settings.leaseS(), term, startedMs);
-    if (site.operator.records().shareStarts()) {
-      ledger.sharedRecords().enable();
-    }
     this.placement = new Placement(ledger);
     this.view =
         new CancellationView(
@@ -319,6 +316,11 @@
     return loop.now() - election.renewedMs() < FIRM_MS;
   }
 
+  /** Every controller reads shared records of starts: small jobs have them from now on. */
+  void shareStarts() {
+    ledger.sharedRecords().enable();
+  }
+
   void start() {
     duties.add(loop.every(TICK_MS, this::beat));
     records.begin();
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -87,6 +87,10 @@
   private final LinkDuties links;
 
   private final Admission admission;
+
+  /** Which peers have said that their build reads shared records of starts. */
+  private final boolean[] readsShared;
+
   private Leader leader;
   private PrometheusMeterRegistry registry;
 
@@ -154,6 +158,7 @@
             new ElectionListener());
     this.reports = new ReportApi(loop, new NodeReports());
     this.peers = new Peers(host, s.members(), new NodePeers());
+    this.readsShared = new boolean[peers.count()];
     this.cancellations = new CancellationDuties(loop, s, peers);
     users.onCancelled(this::learntCancelled);
     // Not even its classes are loaded where it is off.
@@ -213,6 +218,29 @@
         () -> admission.stateService(loop.now() - state.crowdedMs() < SECOND_MS, loop.now()));
   }
 
+  /**
+   * A leader of an earlier build would start again what stands in shared records alone. So they are
+   * written only once every other controller has said that its build reads them, in a roll too.
+   */
+  private void shareStarts(Leader of) {
+    if (leader != of) {
+      return;
+    }
+    boolean all = true;
+    for (int p = 0; p < readsShared.length; p++) {
+      if (!readsShared[p]) {
+        all = false;
+        int peer = p;
+        peers.readsSharedStarts(peer, yes -> readsShared[peer] |= yes);
+      }
+    }
+    if (all) {
+      of.shareStarts();
+    } else {
+      loop.after(SECOND_MS, () -> shareStarts(of));
+    }
+  }
+
   private final class Inlet implements Host.Front {
     @Override
     public void request(Incoming x) {
@@ -471,6 +499,9 @@
               () -> links == null ? 0 : links.links().freshRows(loop.now()),
               new LeaderDuties(term, mark));
       leader.start();
+      if (site.operator.records().shareStarts()) {
+        shareStarts(leader);
+      }
       // After the takeover's first reads are under way: they matter more.
       loop.after(100, () -> peers.announce(site.settings().node(), term));
     }
--- a/src/main/java/org/mallowroad/peer/Peers.java
+++ b/src/main/java/org/mallowroad/peer/Peers.java
@@ -31,6 +31,7 @@
   private static final String RELAY = "/relay";
   private static final String CANCELLED = "/cancelled";
   private static final String OVERLOADED = "/overloaded";
+  private static final String READS_SHARED_STARTS = "/reads-shared-starts";
   private static final long TIMEOUT_MS = 1_200;
 
   private final Loop loop;
@@ -111,6 +112,33 @@
         });
   }
 
+  /** How many peers there are. */
+  public int count() {
+    return callers.size();
+  }
+
+  /** Asks whether a peer's build reads shared records of starts; an earlier one answers 404. */
+  public void readsSharedStarts(int peer, Consumer<Boolean> told) {
+    callers
+        .get(peer)
+        .call(
+            "POST",
+            READS_SHARED_STARTS,
+            new byte[0],
+            TIMEOUT_MS,
+            new Caller.Answer() {
+              @Override
+              public void answered(int status, byte[] body) {
+                told.accept(status == 204);
+              }
+
+              @Override
+              public void failed(boolean sent) {
+                told.accept(false);
+              }
+            });
+  }
+
   /** Tells all peers that the records lag; what is lost is said again a second later. */
   public void overloaded(long term) {
     byte[] message = codec().encode(new PeerCodec.Overloaded(term));
@@ -243,6 +271,8 @@
       } else if (x.path().equals(OVERLOADED)) {
         listener.overloaded(codec().overloaded(x.body()).term());
         x.answer(204, AVRO, new byte[0], false);
+      } else if (x.path().equals(READS_SHARED_STARTS)) {
+        x.answer(204, AVRO, new byte[0], false);
       } else if (x.path().equals(RELAY)) {
         PeerCodec.Relay r = codec().relay(x.body());
         listener.relayed(
