--- a/src/main/java/org/mallowroad/world/SimHost.java
+++ b/src/main/java/org/mallowroad/world/SimHost.java
@@ -18,6 +18,10 @@
   private final Network network;
   private final Function<Endpoint, Network.Party> directory;
   private final double drift;
+
+  /** A message that this node's build does not know; empty for none. */
+  String unknownMessage = "";
+
   private long wallOffMs;
   private Front front;
   private Life loop;
@@ -55,6 +59,10 @@
 
   @Override
   void take(Network.Party from, String method, String target, byte[] body, Network.Reply reply) {
+    if (target.equals(unknownMessage)) {
+      reply.answer(404, NOTHING);
+      return;
+    }
     Incoming x = new Arrived(method, target, body, reply);
     if (from.kind == Network.Kind.NODE) {
       front.message(x);
--- a/src/main/java/org/mallowroad/world/StateModel.java
+++ b/src/main/java/org/mallowroad/world/StateModel.java
@@ -1,5 +1,7 @@
 package org.mallowroad.world;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -31,6 +33,13 @@
     return writes;
   }
 
+  private long sharedStarts;
+
+  /** Transactions that wrote shared records of starts. */
+  long sharedStarts() {
+    return sharedStarts;
+  }
+
   /** How many times slower than usual it is. */
   int slow = 1;
 
@@ -114,6 +123,7 @@
         int more = Json.parseObject(body).path(Fields.WRITES).size();
         writes += more;
         writesThisSecond += more;
+        sharedStarts += new String(body, UTF_8).contains("\"put\":\"starts/") ? 1 : 0;
         if (writesThisSecond > writesPerSecond) {
           reply.answer(429, EMPTY);
           return;
--- a/src/main/java/org/mallowroad/world/World.java
+++ b/src/main/java/org/mallowroad/world/World.java
@@ -793,6 +793,16 @@
     network.filter = filter;
   }
 
+  /** One controller's build does not know a message between controllers. */
+  void unknownMessage(int node, String path) {
+    hosts.get(node).unknownMessage = path;
+  }
+
+  /** Transactions that wrote shared records of starts. */
+  long sharedStarts() {
+    return state.sharedStarts();
+  }
+
   /** Plays it to its end. */
   public Result play() {
     long lastFault = 0;
--- a/src/test/java/org/mallowroad/world/WorldTest.java
+++ b/src/test/java/org/mallowroad/world/WorldTest.java
@@ -199,6 +199,21 @@
     assertEquals(plan, Plan.load(f.toString()));
   }
 
+  /** An earlier build, led by which those tasks would start again, keeps all from writing them. */
+  @Test
+  void sharedStartsAreWrittenOnlyOnceEveryNodeReadsThem() throws IOException {
+    for (boolean older : new boolean[] {false, true}) {
+      World world = new World(new Plan(1, 3, 10, 24, true, List.of()));
+      if (older) {
+        // Two of them: whoever leads has one among its peers.
+        world.unknownMessage(1, "/reads-shared-starts");
+        world.unknownMessage(2, "/reads-shared-starts");
+      }
+      assertEquals(List.of(), world.play().breaches());
+      assertEquals(older, world.sharedStarts() == 0);
+    }
+  }
+
   /** One node answers what it answered a moment ago: users who look closely at all nodes see it. */
   @Test
   void anAnswerThatIsOlderThanAnotherNodesIsSeen() throws IOException {
