Shared records list only starts whose conditions are in the transaction; no job has two records

A job whose own record was sent with an unknown outcome could join a shared one: a next leader could have taken the older one's attempts. An end found twice was counted twice.

--- a/src/main/java/org/mallowroad/controller/CommitDraft.java
+++ b/src/main/java/org/mallowroad/controller/CommitDraft.java
@@ -268,6 +268,7 @@
       guarded.add(c.job);
     }
     seen.add(c);
+    c.own = true;
     if (!c.job.cancelled() && !c.job.ended()) {
       // The job must still be open when a start is recorded.
       txn.given(Records.open(c.job.spec.id()), c.job.mark);
@@ -320,7 +321,9 @@
   /** Builds the values of shared records: nothing can be added from then on. */
   void finish() {
     for (SharedRecord r : sharedRecords) {
-      List<Chunk> left = r.members().stream().filter(c -> !c.finished()).toList();
+      // One that joined when there was no room for its conditions is written with the next one.
+      List<Chunk> left =
+          r.members().stream().filter(c -> seen.contains(c) && !c.finished()).toList();
       List<WrittenChunk> written =
           sharedChunks.stream().filter(w -> w.chunk().shared == r).toList();
       txn.given(Records.starts(r), r.mark);
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -449,8 +449,10 @@
           if (item.value() != null) {
             boolean done = item.value().path("end").asText().equals("done");
             if (done) {
-              ledger.ended(j, loop.now());
-              events.ended(j, true);
+              if (!j.ended()) { // Else it was told before.
+                ledger.ended(j, loop.now());
+                events.ended(j, true);
+              }
               tidy(j);
             } else {
               cancelled(j);
--- a/src/main/java/org/mallowroad/core/Chunk.java
+++ b/src/main/java/org/mallowroad/core/Chunk.java
@@ -14,6 +14,12 @@
   /** The record's version as last seen; 0 when there is none. */
   public long mark;
 
+  /**
+   * True once a record of its own may have been written, known or not: it never shares one then, or
+   * a next leader could find two and take the older one's attempts.
+   */
+  public boolean own;
+
   /** The record that it shares with other small jobs, or null: then it has one of its own. */
   public SharedRecord shared;
 
--- a/src/main/java/org/mallowroad/core/SharedRecords.java
+++ b/src/main/java/org/mallowroad/core/SharedRecords.java
@@ -47,7 +47,7 @@
       return true;
     }
     JobSpec s = c.job.spec;
-    if (!enabled || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
+    if (!enabled || c.own || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
       return false;
     }
     if (filling == null || filling.members().size() >= MOST_MEMBERS) {
--- a/src/test/java/org/mallowroad/controller/CommitterTest.java
+++ b/src/test/java/org/mallowroad/controller/CommitterTest.java
@@ -214,6 +214,36 @@
     assertTrue(written >= 30, "each record at least once: " + written);
   }
 
+  /** More starts than one transaction has conditions for: what is listed is what is recorded. */
+  @Test
+  void aSharedRecordListsNoStartWithoutItsCondition() {
+    ledger.sharedRecords().enable();
+    List<Attempt> all = startMany(90);
+    committer.kick();
+    boolean some = false;
+    for (int ms = 0; ms < 20; ms++) {
+      c.run(1);
+      assertEquals(recorded(all), sharedJobs().size());
+      some |= recorded(all) > 30 && recorded(all) < 90;
+    }
+    assertTrue(some, "more than one transaction");
+    assertEquals(90, recorded(all));
+  }
+
+  /** Its own record may be there though nobody has heard so: it never joins a shared one. */
+  @Test
+  void aJobWhoseOwnRecordIsUnknownSharesNone() {
+    c.loseAnswers = true;
+    List<Attempt> all = startMany(1);
+    committer.kick();
+    c.run(1_000);
+    c.loseAnswers = false;
+    ledger.sharedRecords().enable();
+    c.run(10_000);
+    assertEquals(1, recorded(all));
+    assertEquals(List.of(), sharedJobs());
+  }
+
   private int groups;
 
   /** Jobs of one task each; those of the first call are job-10, job-11 and so on. */
