Shared records of starts are bounded by the service's limits, not by a constant

A record took 24 jobs whatever state.txn_ops and state.value_kb allow. With four writes a transaction (16 conditions) 36 of 60 starts were recorded in 10 s, the other 24 not until others end; and 24 jobs of four tasks with long ids made a value of 6,001 bytes with no bound against value_kb: past it every commit that writes the record is refused.

Change: SharedRecords.enable takes both bounds from the settings, each job reserves what it can come to need, a record's conditions are counted as they are added (only starts that are recorded have one), and its bytes count in the transaction's.

--- a/src/main/java/org/mallowroad/controller/CommitDraft.java
+++ b/src/main/java/org/mallowroad/controller/CommitDraft.java
@@ -15,6 +15,7 @@
 import org.mallowroad.core.Ledger;
 import org.mallowroad.core.Names;
 import org.mallowroad.core.SharedRecord;
+import org.mallowroad.core.SharedRecords;
 import org.mallowroad.election.Election;
 import org.mallowroad.state.Records;
 import org.mallowroad.state.StateStore.Txn;
@@ -295,11 +296,11 @@
    * with its job's open record as a condition.
    */
   private void includeShared(SharedRecord r) {
-    int unseen = 0;
+    int conditions = 1;
     for (Chunk c : r.members()) {
-      unseen += seen.contains(c) ? 0 : 1;
+      conditions += !seen.contains(c) && c.recording() > 0 ? 1 : 0;
     }
-    if (!hasConditions(unseen + 1) || (!sharedRecords.contains(r) && full(1))) {
+    if (!hasConditions(conditions) || (!sharedRecords.contains(r) && full(1))) {
       return;
     }
     sharedRecords.add(r);
@@ -311,7 +312,7 @@
       if (!recorded.isEmpty()) {
         txn.given(Records.open(c.job.spec.id()), c.job.mark);
       }
-      bytes += KEY_BYTES;
+      bytes += KEY_BYTES + SharedRecords.reservedBytes(c);
       if (!ledger.ending().contains(c.job)) {
         sharedChunks.add(new WrittenChunk(c, c.changes, c.finished(), recorded, null));
       }
--- a/src/main/java/org/mallowroad/controller/Committer.java
+++ b/src/main/java/org/mallowroad/controller/Committer.java
@@ -113,6 +113,11 @@
     this.events = events;
   }
 
+  /** Members of a shared record: half of a transaction's conditions are left to other writes. */
+  static int mostSharedMembers(int maxOps) {
+    return CONDITIONS_A_WRITE * maxOps / 2;
+  }
+
   void stop() {
     stopped = true;
     if (lazy != null) {
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -73,6 +73,7 @@
   private final IntSupplier peersNear;
   private final long startedMs;
   private final CancellationView view;
+  private final int maxOps;
   private final List<Loop.Timer> duties = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
   private final WorkerClient workers;
@@ -149,7 +150,7 @@
             CancellationView.mostAgeMs(site.settings.leaseS(), site.settings.cancelS()));
     double writeRps = site.settings.stateWriteRps();
     // A transaction larger than the bucket would wait for ever, so the one bounds the other.
-    int maxOps = (int) Math.max(4, Math.min(site.settings.txnOps(), writeRps * 0.8));
+    this.maxOps = (int) Math.max(4, Math.min(site.settings.txnOps(), writeRps * 0.8));
     Budget writes = new Budget(writeRps * 0.75, Math.max(maxOps, writeRps * 0.7), loop.now());
     this.share = new WriteShare(writeRps, writes, loop.now());
     this.committer =
@@ -318,7 +319,8 @@
 
   /** Every controller reads shared records of starts: small jobs have them from now on. */
   void shareStarts() {
-    ledger.sharedRecords().enable();
+    int valueBytes = (int) (site.settings.valueKb() * 1024);
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(maxOps), valueBytes);
   }
 
   void start() {
--- a/src/main/java/org/mallowroad/core/SharedRecord.java
+++ b/src/main/java/org/mallowroad/core/SharedRecord.java
@@ -13,6 +13,8 @@
 
   private final ObjectLinkedOpenHashSet<Chunk> members = new ObjectLinkedOpenHashSet<>();
 
+  private int reservedBytes;
+
   /** True when the record still lists a cancelled job of which nothing is left. */
   private boolean outdated;
 
@@ -26,13 +28,22 @@
     return members;
   }
 
+  /** Bytes of its value that its members may come to need. */
+  int reservedBytes() {
+    return reservedBytes;
+  }
+
   void add(Chunk c) {
     c.shared = this;
-    members.add(c);
+    if (members.add(c)) {
+      reservedBytes += SharedRecords.reservedBytes(c);
+    }
   }
 
   void remove(Chunk c) {
-    members.remove(c);
+    if (members.remove(c)) {
+      reservedBytes -= SharedRecords.reservedBytes(c);
+    }
     // A next leader would restore a cancelled job's attempts, and wait for proof that they are
     // gone; a done job's it ignores.
     outdated |= c.job.cancelled;
--- a/src/main/java/org/mallowroad/core/SharedRecords.java
+++ b/src/main/java/org/mallowroad/core/SharedRecords.java
@@ -16,24 +16,42 @@
   /** Jobs of more tasks have records of their own. */
   static final int MOST_TASKS = 4;
 
-  /**
-   * Members of a record: their conditions fit into one transaction, their attempts into a value.
-   */
+  /** Members of a record, where the limits of transactions and values allow so many. */
   public static final int MOST_MEMBERS = 24;
 
+  /** Bytes of a member without its id and its attempts. */
+  private static final int MEMBER_BYTES = 40;
+
+  /** Bytes of an attempt on a machine of its own, with the machine's name, type and zone. */
+  private static final int ATTEMPT_BYTES = 160;
+
   private final long term;
   private final ObjectLinkedOpenHashSet<SharedRecord> records = new ObjectLinkedOpenHashSet<>();
   private SharedRecord filling;
   private long count;
-  private boolean enabled;
+  private int mostMembers;
+  private int mostBytes;
 
   SharedRecords(long term) {
     this.term = term;
   }
 
-  /** New small jobs share records from now on; those that do already go on in any case. */
-  public void enable() {
-    enabled = true;
+  /**
+   * New small jobs share records from now on; those that do already go on in any case. A record
+   * that outgrew either bound could not be written any more.
+   *
+   * @param mostMembers members whose conditions fit into one transaction
+   * @param mostBytes the largest value that the state service takes
+   */
+  public void enable(int mostMembers, int mostBytes) {
+    this.mostMembers = Math.min(MOST_MEMBERS, mostMembers);
+    this.mostBytes = mostBytes;
+  }
+
+  /** The most that a job can take of a record's value, wherever its tasks are placed. */
+  public static int reservedBytes(Chunk c) {
+    JobSpec s = c.job.spec;
+    return MEMBER_BYTES + s.id().length() + ATTEMPT_BYTES * s.tasks();
   }
 
   /** All records that there are. */
@@ -47,10 +65,16 @@
       return true;
     }
     JobSpec s = c.job.spec;
-    if (!enabled || c.own || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
+    if (c.own || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
+      return false;
+    }
+    int bytes = reservedBytes(c);
+    if (mostMembers == 0 || bytes > mostBytes) {
       return false;
     }
-    if (filling == null || filling.members().size() >= MOST_MEMBERS) {
+    if (filling == null
+        || filling.members().size() >= mostMembers
+        || filling.reservedBytes() + bytes > mostBytes) {
       filling = new SharedRecord(term + "-" + count++, 0);
       records.add(filling);
     }
--- a/src/test/java/org/mallowroad/controller/CommitterTest.java
+++ b/src/test/java/org/mallowroad/controller/CommitterTest.java
@@ -24,6 +24,7 @@
 /** Which records come first when there are more than the state service takes. */
 final class CommitterTest {
   private static final double RPS = 22;
+  private static final int VALUE_BYTES = 8 * 1024;
   private final Clockwork c = new Clockwork();
   private final Clockwork.Process p = c.new Process();
   private final StateStore state = new StateStore(p, p, p);
@@ -32,6 +33,7 @@
       new MachineType(0, "t9", 9_000, 0, 9_000, 100, 1, 2.0, 0.5, 30, new int[] {0});
   private final Ledger ledger;
   private final Machine machine;
+  private final long leaderMark;
   private final Committer committer;
 
   CommitterTest() {
@@ -43,39 +45,42 @@
         new WorkerReport("n-1", "h:1", "t9", "a", false, 1, 1, 1, -1, List.of()),
         true,
         c.now);
-    long mark = put(Election.LEADER);
-    committer =
-        new Committer(
-            p,
-            state,
-            new Budget(RPS, 24, c.now),
-            ledger,
-            zones,
-            mark,
-            16,
-            new Committer.Events() {
-              @Override
-              public void guard(Job job, StateStore.Txn txn) {}
+    leaderMark = put(Election.LEADER);
+    committer = committer(16);
+  }
+
+  private Committer committer(int maxOps) {
+    return new Committer(
+        p,
+        state,
+        new Budget(RPS, 24, c.now),
+        ledger,
+        zones,
+        leaderMark,
+        maxOps,
+        new Committer.Events() {
+          @Override
+          public void guard(Job job, StateStore.Txn txn) {}
 
-              @Override
-              public void guarded(Job job, long revision) {}
+          @Override
+          public void guarded(Job job, long revision) {}
 
-              @Override
-              public void reguard(Job job, Runnable next) {
-                next.run();
-              }
+          @Override
+          public void reguard(Job job, Runnable next) {
+            next.run();
+          }
 
-              @Override
-              public void deposed() {
-                throw new IllegalStateException("deposed");
-              }
+          @Override
+          public void deposed() {
+            throw new IllegalStateException("deposed");
+          }
 
-              @Override
-              public void committed() {}
+          @Override
+          public void committed() {}
 
-              @Override
-              public void ended(Job job, boolean done) {}
-            });
+          @Override
+          public void ended(Job job, boolean done) {}
+        });
   }
 
   private long put(String key) {
@@ -116,7 +121,7 @@
   /** Twenty starts of small jobs in one write; their ends in two each and one more for all. */
   @Test
   void smallJobsShareARecordOfTheirStarts() {
-    ledger.sharedRecords().enable();
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
     List<Attempt> all = startMany(20);
     int before = c.writes;
     committer.kick();
@@ -139,7 +144,7 @@
   /** One of them is cancelled before its start is recorded: the others' are recorded. */
   @Test
   void aJobThatIsOverKeepsNoOtherFromTheSharedRecord() {
-    ledger.sharedRecords().enable();
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
     List<Attempt> all = startMany(5);
     cancelFirst();
     committer.kick();
@@ -152,7 +157,7 @@
   /** What a next leader would have to wait for is taken out of the record. */
   @Test
   void aCancelledJobOfWhichNothingIsLeftIsNotListedAnyMore() {
-    ledger.sharedRecords().enable();
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
     List<Attempt> all = startMany(3);
     committer.kick();
     c.run(100);
@@ -173,7 +178,7 @@
   void aCommitWhoseAnswerIsLostIsFoundAndNotWrittenOnceMore() {
     for (boolean shared : new boolean[] {false, true}) {
       if (shared) {
-        ledger.sharedRecords().enable();
+        ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
       }
       List<Attempt> all = startMany(shared ? 3 : 1);
       int before = c.writes;
@@ -217,7 +222,7 @@
   /** More starts than one transaction has conditions for: what is listed is what is recorded. */
   @Test
   void aSharedRecordListsNoStartWithoutItsCondition() {
-    ledger.sharedRecords().enable();
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
     List<Attempt> all = startMany(90);
     committer.kick();
     boolean some = false;
@@ -238,12 +243,58 @@
     committer.kick();
     c.run(1_000);
     c.loseAnswers = false;
-    ledger.sharedRecords().enable();
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
     c.run(10_000);
     assertEquals(1, recorded(all));
     assertEquals(List.of(), sharedJobs());
   }
 
+  /**
+   * Few conditions a transaction: no record takes more members than one has conditions for, or none
+   * of their starts would be recorded until others end.
+   */
+  @Test
+  void sharedRecordsFitIntoTheSmallestTransactions() {
+    int maxOps = 4;
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(maxOps), VALUE_BYTES);
+    List<Attempt> all = startMany(60);
+    committer(maxOps).kick();
+    c.run(10_000);
+    assertEquals(60, recorded(all));
+  }
+
+  /** Jobs of four tasks on four machines, with the longest ids, and small values. */
+  @Test
+  void sharedRecordsStayBelowTheLimitOfAValue() {
+    int mostBytes = 2 * 1024;
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), mostBytes);
+    List<Attempt> all = new ArrayList<>();
+    for (int i = 0; i < 24; i++) {
+      String id = "job-" + "9".repeat(38) + (10 + i);
+      Job job = ledger.accept(Specs.array(id, 4, 1).build(), put("open/" + id), 0, c.now);
+      for (int t = 0; t < 4; t++) {
+        all.add(ledger.start(job, t, longNamed(t), c.now));
+      }
+    }
+    committer.kick();
+    c.run(10_000);
+    assertEquals(96, recorded(all));
+    for (String key : c.store.keys("starts/")) {
+      int bytes = c.store.value(key).toString().length();
+      assertTrue(bytes <= mostBytes, key + ": " + bytes);
+    }
+  }
+
+  private Machine longNamed(int i) {
+    Machine m = ledger.meet("machine-with-a-long-name-" + i, type, 0, false, c.now);
+    ledger.report(
+        m,
+        new WorkerReport(m.name, "h:" + i, "t9", "a", false, 1, 1, 1, -1, List.of()),
+        true,
+        c.now);
+    return m;
+  }
+
   private int groups;
 
   /** Jobs of one task each; those of the first call are job-10, job-11 and so on. */
