Services have records of their own; what was written twice stands once

Found by reading the change once more. FoldClaim told of a failed condition in three places, UserModel of a call in two, and Submissions had a null check for a test alone: KeptTest gives it a loop now, its assertion is as it was.

--- a/src/main/java/org/mallowroad/api/FoldClaim.java
+++ b/src/main/java/org/mallowroad/api/FoldClaim.java
@@ -305,15 +305,19 @@
     send(
         txn,
         revision -> accepted(),
-        failed -> {
-          if (failed.contains(Records.open(id)) || failed.contains(Records.end(id))) {
-            end(Folding.End.KNOWN, "");
-          } else if (failed.contains(Records.intent(id))) {
-            adopt(); // Begun by an earlier try, perhaps on another node.
-          } else {
-            again(failed, changed.keySet());
-          }
-        });
+        // An intent was begun by an earlier try, perhaps on another node.
+        failed -> refused(failed, this::adopt, changed.keySet()));
+  }
+
+  /** A condition failed: the job is known, its intent is another one, or others wrote. */
+  private void refused(List<String> failed, Runnable intentChanged, Collection<BlockKey> wrote) {
+    if (failed.contains(Records.open(id)) || failed.contains(Records.end(id))) {
+      end(Folding.End.KNOWN, "");
+    } else if (failed.contains(Records.intent(id))) {
+      intentChanged.run();
+    } else {
+      again(failed, wrote);
+    }
   }
 
   private void accepted() {
@@ -371,31 +375,14 @@
           blocks.written(some, revision);
           decide();
         },
-        failed -> {
-          if (failed.contains(Records.intent(id))) {
-            gone();
-          } else {
-            again(failed, some.keySet());
-          }
-        });
+        failed -> refused(failed, this::gone, some.keySet()));
   }
 
   private void finish() {
     Txn txn = unknownId().given(Records.intent(id), intent);
     txn.put(Records.open(id), value).delete(Records.intent(id));
     touch(txn);
-    send(
-        txn,
-        revision -> accepted(),
-        failed -> {
-          if (failed.contains(Records.open(id)) || failed.contains(Records.end(id))) {
-            end(Folding.End.KNOWN, "");
-          } else if (failed.contains(Records.intent(id))) {
-            gone();
-          } else {
-            again(failed, List.of());
-          }
-        });
+    send(txn, revision -> accepted(), failed -> refused(failed, this::gone, List.of()));
   }
 
   /** Its intent is not what it was: accepted by another try, or given up. */
--- a/src/main/java/org/mallowroad/api/Submissions.java
+++ b/src/main/java/org/mallowroad/api/Submissions.java
@@ -58,8 +58,7 @@
       Budget fairWrites,
       double valueKb,
       double callsPerSecond) {
-    this.retries =
-        loop == null ? null : new Budget(RETRY_SHARE * callsPerSecond, RETRY_BURST, loop.now());
+    this.retries = new Budget(RETRY_SHARE * callsPerSecond, RETRY_BURST, loop.now());
     this.loop = loop;
     this.state = state;
     this.lookup = lookup;
--- a/src/main/java/org/mallowroad/core/SharedRecords.java
+++ b/src/main/java/org/mallowroad/core/SharedRecords.java
@@ -9,8 +9,10 @@
  * over.
  *
  * <p>A record takes new jobs until it is full, then another one does. It is written with each start
- * of a member, and deleted once no member is left. Jobs that are done stay listed in it until it is
- * written for another reason; whoever reads it ignores them, since their end records say so.
+ * of a member, and deleted once no member is left: so services, which may run for years, have
+ * records of their own, or shared ones could never be done without again. Jobs that are done stay
+ * listed in it until it is written for another reason; whoever reads it ignores them, since their
+ * end records say so.
  */
 public final class SharedRecords {
   /** Jobs of more tasks have records of their own. */
@@ -65,7 +67,7 @@
       return true;
     }
     JobSpec s = c.job.spec;
-    if (c.own || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held()) {
+    if (c.own || c.mark != 0 || s.tasks() > MOST_TASKS || s.ties().held() || s.service()) {
       return false;
     }
     int bytes = reservedBytes(c);
--- a/src/main/java/org/mallowroad/world/UserModel.java
+++ b/src/main/java/org/mallowroad/world/UserModel.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.mallowroad.net.Caller;
 import org.mallowroad.wire.BadMessage;
@@ -204,33 +205,41 @@
 
   /** Asks one node, past the load balancer; status 0 stands for no answer. */
   private void askAt(SimHost node, String method, String target, byte[] body, long ms, Got got) {
-    network.call(
-        this,
+    call(node, method, target, body, ms, got, sent -> got.got(0, ""));
+  }
+
+  /** Asks any healthy node; status 0 stands for no answer. */
+  private void ask(String method, String target, byte[] body, long ms, int tries, Got got) {
+    SimHost node = healthy();
+    if (node == null) {
+      time.after(ms * 1000, this, () -> got.got(0, ""));
+      return;
+    }
+    call(
         node,
         method,
         target,
         body,
         ms,
-        new Caller.Answer() {
-          @Override
-          public void answered(int status, byte[] bytes) {
-            got.got(status, standing(bytes));
-          }
-
-          @Override
-          public void failed(boolean sent) {
+        got,
+        sent -> {
+          if (!sent && tries > 1) {
+            ask(method, target, body, ms, tries - 1, got);
+          } else {
             got.got(0, "");
           }
         });
   }
 
-  /** Asks any healthy node; status 0 stands for no answer. */
-  private void ask(String method, String target, byte[] body, long ms, int tries, Got got) {
-    SimHost node = healthy();
-    if (node == null) {
-      time.after(ms * 1000, this, () -> got.got(0, ""));
-      return;
-    }
+  /** Calls a node; {@code failed} hears whether the request may have been sent. */
+  private void call(
+      SimHost node,
+      String method,
+      String target,
+      byte[] body,
+      long ms,
+      Got got,
+      Consumer<Boolean> failed) {
     network.call(
         this,
         node,
@@ -246,11 +255,7 @@
 
           @Override
           public void failed(boolean sent) {
-            if (!sent && tries > 1) {
-              ask(method, target, body, ms, tries - 1, got);
-            } else {
-              got.got(0, "");
-            }
+            failed.accept(sent);
           }
         });
   }
--- a/src/test/java/org/mallowroad/controller/CommitterTest.java
+++ b/src/test/java/org/mallowroad/controller/CommitterTest.java
@@ -285,6 +285,20 @@
     }
   }
 
+  /** It may run for years, and would keep the shared record for as long. */
+  @Test
+  void aServiceHasARecordOfItsOwn() {
+    ledger.sharedRecords().enable(Committer.mostSharedMembers(16), VALUE_BYTES);
+    JobSpec s = Specs.array("job-1", 1, 1).service().build();
+    Job job = ledger.accept(s, put("open/job-1"), 0, c.now);
+    List<Attempt> all = List.of(ledger.start(job, 0, machine, c.now));
+    committer.kick();
+    c.run(1_000);
+    assertEquals(1, recorded(all));
+    assertEquals(List.of(), sharedJobs());
+    assertEquals(List.of("run/job-1/0"), List.copyOf(c.store.keys("run/")));
+  }
+
   private Machine longNamed(int i) {
     Machine m = ledger.meet("machine-with-a-long-name-" + i, type, 0, false, c.now);
     ledger.report(
--- a/src/test/java/org/mallowroad/controller/KeptTest.java
+++ b/src/test/java/org/mallowroad/controller/KeptTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.mallowroad.Clockwork;
 import org.mallowroad.api.UserApi;
 import org.mallowroad.config.OperatorSettings;
 import org.mallowroad.config.Settings;
@@ -23,6 +24,7 @@
 import org.mallowroad.core.Placement;
 import org.mallowroad.core.Specs;
 import org.mallowroad.core.WorkerReport;
+import org.mallowroad.net.Loop;
 import org.mallowroad.net.XnioHost;
 import org.mallowroad.wire.Json;
 import org.mallowroad.worker.WorkerClient;
@@ -196,7 +198,8 @@
 
   @Test
   void endsAreRememberedUpToABound() {
-    UserApi users = new UserApi(null, null, null, 1, null, null, null, 8, 64, 5_000);
+    Loop loop = new Clockwork().new Process();
+    UserApi users = new UserApi(loop, null, null, 1, null, null, null, 8, 64, 5_000);
     for (int n = 0; n < 100_000; n++) {
       users.ended("job-" + n, true);
     }
--- a/src/test/java/org/mallowroad/core/Specs.java
+++ b/src/test/java/org/mallowroad/core/Specs.java
@@ -9,6 +9,7 @@
   private final String id;
   private final int tasks;
   private final double cpus;
+  private boolean service;
   private boolean gang;
   private boolean together;
   private boolean scatter;
@@ -36,6 +37,11 @@
     return this;
   }
 
+  public Specs service() {
+    service = true;
+    return this;
+  }
+
   public Specs gang() {
     gang = true;
     return this;
@@ -87,7 +93,7 @@
         id,
         taskClass,
         team,
-        false,
+        service,
         gang,
         priority,
         tasks,
