Review: all machines stop at once, and no job runs any more

Cause: a leader with more than eight silent machines resigns after 21 s, and would return them only after 26 s of silence, counted anew in each term.

In the stand-ins a machine that stops stays listed for 30 s, and an answer is compared only with what was told before its question. No code of the service is changed.

--- a/review/lib/review/Cloud.java
+++ b/review/lib/review/Cloud.java
@@ -16,9 +16,15 @@
   private final HttpServer server;
   private final Bucket calls;
   private final TreeMap<String, Worker> machines = new TreeMap<>();
+  private final Map<String, Worker> dying = new TreeMap<>();
   private final Map<String, Http.Response> rentals = new HashMap<>();
   private final ArrayDeque<Snapshot> snapshots = new ArrayDeque<>();
   private int created = 100;
+
+  /** Requests that rented machines, and machines that were deleted. */
+  volatile int rentalRequests;
+
+  volatile int deletedMachines;
   volatile boolean down;
 
   Cloud(Deployment deployment) {
@@ -45,10 +51,22 @@
     return worker;
   }
 
-  /** The machine stops on its own, with all that is on it, and is not listed any more. */
+  /**
+   * The machine stops with all that is on it. It stays listed as running for about 30 s more, unless
+   * it is deleted before.
+   */
   synchronized void lose(Worker worker) {
     machines.remove(worker.name);
+    dying.put(worker.name, worker);
     worker.destroy();
+    Http.pool()
+        .execute(
+            () -> {
+              StateService.sleep(30_000);
+              synchronized (this) {
+                dying.remove(worker.name);
+              }
+            });
   }
 
   private void takeSnapshots() {
@@ -56,7 +74,9 @@
       synchronized (this) {
         long now = System.nanoTime();
         List<Map<String, Object>> list = new ArrayList<>();
-        for (Worker worker : machines.values()) {
+        TreeMap<String, Worker> listed = new TreeMap<>(machines);
+        listed.putAll(dying);
+        for (Worker worker : listed.values()) {
           list.add(
               Json.of(
                   "name_id", worker.name, "address", worker.address(), "build",
@@ -131,6 +151,7 @@
 
   private Http.Response rent(Map<String, Object> request) {
     String hire = Json.str(request, "hire");
+    rentalRequests++;
     if (rentals.containsKey(hire)) {
       return rentals.get(hire);
     }
@@ -167,7 +188,9 @@
   private Http.Response delete(String body) {
     List<Object> names = (List<Object>) Json.object(body).get("hearths");
     deployment.record.log("cloud", "deleted " + names);
+    deletedMachines += names.size();
     for (Object name : names) {
+      dying.remove(name.toString());
       Worker worker = machines.remove(name.toString());
       if (worker != null) {
         worker.destroy();
--- a/review/lib/review/Users.java
+++ b/review/lib/review/Users.java
@@ -92,7 +92,7 @@
         job.accepted = true;
         job.acceptedNs = System.nanoTime();
         job.lastAnswerNs = job.acceptedNs;
-        check(job, response);
+        check(job, response, false, false, false);
         return response.status();
       }
       if (response.status() == 400 || response.status() == 422) {
@@ -110,11 +110,21 @@
 
   /** Asks about a job once; returns its standing, or null without a usable answer. */
   String poll(Jobs.Job job) {
-    return check(job, send("GET", "/v1/jobs/" + job.id, null, 2_000));
+    // Only what was told before this question was asked can be taken back by its answer.
+    boolean wasAccepted = job.accepted;
+    boolean wasDone = job.calledDone;
+    boolean wasCancelled = job.cancelConfirmed;
+    Http.Response response = send("GET", "/v1/jobs/" + job.id, null, 2_000);
+    return check(job, response, wasAccepted, wasDone, wasCancelled);
   }
 
-  private String check(Jobs.Job job, Http.Response response) {
-    if (response.status() == 404 && job.accepted) {
+  private String check(
+      Jobs.Job job,
+      Http.Response response,
+      boolean wasAccepted,
+      boolean wasDone,
+      boolean wasCancelled) {
+    if (response.status() == 404 && wasAccepted) {
       record.violation("forgotten: " + job.id + " gets 404");
     }
     if (response.status() != 200) {
@@ -126,8 +136,8 @@
     if (standing.equals("done") && deployment.jobs.completedTasks(job) < job.tasks()) {
       record.violation("not_done: " + job.id + " is called done");
     }
-    if ((job.calledDone && !standing.equals("done"))
-        || (job.cancelConfirmed && !standing.equals("withdrawn"))) {
+    if ((wasDone && !standing.equals("done"))
+        || (wasCancelled && !standing.equals("withdrawn"))) {
       record.violation("went_back: " + job.id + " is called " + standing);
     }
     job.calledDone |= standing.equals("done");
