--- a/review/lib/review/Deployment.java
+++ b/review/lib/review/Deployment.java
@@ -107,8 +107,8 @@
       builder.environment().put("LOG_LEVEL", "info");
       builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
       builder.redirectError(ProcessBuilder.Redirect.appendTo(log));
-      killed[node] = false;
       processes[node] = builder.start();
+      killed[node] = false;
       record.log("test", "hearth-" + node + " started, process " + processes[node].pid());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
