Review, case 3: look for 98 s instead of 104 s

Cause: with a slow start the run came near to the 120 s that it may take.

Change: the test looks for 98 s. The bound of 90 s is unchanged.

--- a/review/lib/review/CaseOneMachine.java
+++ b/review/lib/review/CaseOneMachine.java
@@ -35,7 +35,7 @@
     record.say(job.id + " of two tasks of 3 s: " + users.submit(job));
     long startNs = System.nanoTime();
     String standing = null;
-    while (!"done".equals(standing) && (System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 14) {
+    while (!"done".equals(standing) && (System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 8) {
       StateService.sleep(5_000);
       standing = users.poll(job);
       StringBuilder machines = new StringBuilder();
