--- a/review/lib/review/CaseAllMachines.java
+++ b/review/lib/review/CaseAllMachines.java
@@ -18,13 +18,13 @@
   public static void main(String[] args) {
     Recorder record = new Recorder(Path.of(args[1], "record.txt"));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    double lookS = Double.parseDouble(System.getenv().getOrDefault("LOOK_S", "94"));
+    double lookS = Double.parseDouble(System.getenv().getOrDefault("LOOK_S", "92"));
     Settings settings = new Settings();
     settings.builds = List.of(new Settings.Build("pawn-small", 4, 8, 100, 1, 0.2, 4, 40));
     settings.machinesAtStart = 12;
     Deployment deployment = new Deployment(settings, Path.of(args[0]), record);
     deployment.startAll();
-    if (!deployment.awaitReady(12)) {
+    if (!deployment.awaitReady(15)) {
       record.say("the controllers are not ready: the case can't run");
       deployment.recordLogs(".*", 20);
       System.exit(2);
--- a/review/lib/review/CaseHugeArrays.java
+++ b/review/lib/review/CaseHugeArrays.java
@@ -29,7 +29,7 @@
     settings.machinesAtStart = 3;
     Deployment deployment = new Deployment(settings, Path.of(args[0]), record);
     deployment.startAll();
-    if (!deployment.awaitReady(12)) {
+    if (!deployment.awaitReady(15)) {
       record.say("the controllers are not ready: the case can't run");
       deployment.recordLogs(".*", 20);
       System.exit(2);
--- a/review/lib/review/CaseOneMachine.java
+++ b/review/lib/review/CaseOneMachine.java
@@ -20,7 +20,7 @@
     settings.machinesAtStart = 1;
     Deployment deployment = new Deployment(settings, Path.of(args[0]), record);
     deployment.startAll();
-    if (!deployment.awaitReady(12)) {
+    if (!deployment.awaitReady(15)) {
       record.say("the controllers are not ready: the case can't run");
       deployment.recordLogs(".*", 20);
       System.exit(2);
@@ -35,7 +35,7 @@
     record.say(job.id + " of two tasks of 3 s: " + users.submit(job));
     long startNs = System.nanoTime();
     String standing = null;
-    while (!"done".equals(standing) && (System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 8) {
+    while (!"done".equals(standing) && (System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 3) {
       StateService.sleep(5_000);
       standing = users.poll(job);
       StringBuilder machines = new StringBuilder();
--- a/review/lib/review/CaseSmallTasks.java
+++ b/review/lib/review/CaseSmallTasks.java
@@ -20,7 +20,7 @@
     settings.builds = List.of(new Settings.Build("g8", 96, 768, 200, 1, 12, 5, 4));
     Deployment deployment = new Deployment(settings, Path.of(args[0]), record);
     deployment.startAll();
-    if (!deployment.awaitReady(12)) {
+    if (!deployment.awaitReady(15)) {
       record.say("the controllers are not ready: the case can't run");
       deployment.recordLogs(".*", 20);
       System.exit(2);
@@ -63,7 +63,7 @@
   private static void watch(Deployment deployment, Users users, List<Jobs.Job> jobs) {
     Recorder record = deployment.record;
     long startNs = System.nanoTime();
-    while ((System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 8) {
+    while ((System.nanoTime() - startNs) / 1e9 < LONGEST_WAIT_S + 4) {
       int done = 0;
       StringBuilder text = new StringBuilder();
       for (Jobs.Job job : jobs) {
