--- a/review/lib/review/Deployment.java
+++ b/review/lib/review/Deployment.java
@@ -56,20 +56,31 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
+  /**
+   * Ports that nothing listens on, below the range from which the system takes the ports of outgoing
+   * connections: those come and go all the time, also between this check and a controller's start.
+   */
   private static List<Integer> freePorts(int count) {
     List<ServerSocket> sockets = new ArrayList<>();
     List<Integer> ports = new ArrayList<>();
     try {
-      for (int i = 0; i < count; i++) {
-        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getByName(Http.HOST));
-        sockets.add(socket);
-        ports.add(socket.getLocalPort());
+      for (int attempt = 0; sockets.size() < count && attempt < 1_000; attempt++) {
+        int port = 12_000 + (int) (Math.random() * 20_000);
+        try {
+          sockets.add(new ServerSocket(port, 50, InetAddress.getByName(Http.HOST)));
+          ports.add(port);
+        } catch (IOException e) {
+          // The port is in use: another one is tried.
+        }
       }
+    } finally {
       for (ServerSocket socket : sockets) {
-        socket.close();
+        try {
+          socket.close();
+        } catch (IOException e) {
+          // Nothing listens any more in any case.
+        }
       }
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
     }
     return ports;
   }
