Review: a run that is ended from outside leaves no controller behind

Cause: two controllers stayed behind when their runs were ended while they started.

Change: nothing is started once a deployment is closed.

--- a/review/lib/review/Deployment.java
+++ b/review/lib/review/Deployment.java
@@ -26,6 +26,7 @@
   private final List<String> peers = new ArrayList<>();
   private final Process[] processes;
   private final boolean[] killed;
+  private boolean closed;
 
   /** The address of the state service for each node; a case may put a proxy in between. */
   final List<String> stateAddresses = new ArrayList<>();
@@ -98,8 +99,11 @@
     return -1;
   }
 
-  /** Starts a controller with the command of the deploy file. */
-  void start(int node) {
+  /** Starts a controller with the command of the deploy file; none is started after the end. */
+  synchronized void start(int node) {
+    if (closed) {
+      return;
+    }
     try {
       Path file = folder.resolve("hearth-" + node + ".toml");
       Files.writeString(
@@ -216,6 +220,7 @@
 
   /** Ends all processes that were started, and removes the temporary folder. */
   synchronized void close() {
+    closed = true;
     for (Process process : processes) {
       if (process != null) {
         process.destroyForcibly();
