--- a/review/lib/review/CaseAllMachines.java
+++ b/review/lib/review/CaseAllMachines.java
@@ -16,7 +16,7 @@
   private CaseAllMachines() {}
 
   public static void main(String[] args) {
-    Recorder record = new Recorder(Path.of(args[1], "record.txt"));
+    Recorder record = new Recorder(Path.of(args[1]));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     double lookS = Double.parseDouble(System.getenv().getOrDefault("LOOK_S", "92"));
     Settings settings = new Settings();
--- a/review/lib/review/CaseHugeArrays.java
+++ b/review/lib/review/CaseHugeArrays.java
@@ -19,7 +19,7 @@
   private CaseHugeArrays() {}
 
   public static void main(String[] args) {
-    Recorder record = new Recorder(Path.of(args[1], "record.txt"));
+    Recorder record = new Recorder(Path.of(args[1]));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Settings settings = new Settings();
     settings.builds =
--- a/review/lib/review/CaseOneMachine.java
+++ b/review/lib/review/CaseOneMachine.java
@@ -13,7 +13,7 @@
   private CaseOneMachine() {}
 
   public static void main(String[] args) {
-    Recorder record = new Recorder(Path.of(args[1], "record.txt"));
+    Recorder record = new Recorder(Path.of(args[1]));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Settings settings = new Settings();
     settings.builds = List.of(new Settings.Build("rook-large", 32, 256, 100, 1, 2.3, 3, 1));
--- a/review/lib/review/CaseSmallTasks.java
+++ b/review/lib/review/CaseSmallTasks.java
@@ -14,7 +14,7 @@
   private CaseSmallTasks() {}
 
   public static void main(String[] args) {
-    Recorder record = new Recorder(Path.of(args[1], "record.txt"));
+    Recorder record = new Recorder(Path.of(args[1]));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Settings settings = new Settings();
     settings.builds = List.of(new Settings.Build("g8", 96, 768, 200, 1, 12, 5, 4));
