--- a/review/stand-ins-2/review2/MistakenJobs.java
+++ b/review/stand-ins-2/review2/MistakenJobs.java
@@ -63,13 +63,13 @@
       }
       World.sleep(20);
     }
-    World.sleep(6_000);
+    World.sleep(5_000);
     for (String id : MISTAKEN) {
       accepted &= world.withdraw(id) != null;
     }
     world.runS.put(GOOD, new double[] {3});
     accepted &= world.submit(job(GOOD, TEAM, 1, 2));
-    boolean isDone = accepted && world.awaitState(GOOD, "done", 93_000);
+    boolean isDone = accepted && world.awaitState(GOOD, "done", 92_000);
     world.recordLogs("ERROR|event=task_failed|event=deposed|event=machine_(drain|fault|reco|del)");
     World.exit(world, !accepted ? World.NOT_RUN : isDone ? World.HELD : World.BROKEN);
   }
