Review case 4: a task runs on two machines over a slow link

Cause: the worker's answer to a direct command counts as proof that a launch in an answer still on its way never started; a spot notice makes the leader start the task elsewhere.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,8 +3,8 @@
 # TROUBLE=0 it does the same without the disruption. What happened is written to record.txt here.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/mallowroad.jar ] || [ ! -f target/review-2/review2/ErrorOnOnlyMachine.class ]; then
+if [ ! -f target/mallowroad.jar ] || [ ! -f target/review-2/review2/NoticeOnSlowLink.class ]; then
   echo "run the build of deploy/service.toml and review/build-2.sh first" >&2
   exit 2
 fi
-exec java -Xmx512m -cp target/mallowroad.jar:target/review-2 review2.Run ErrorOnOnlyMachine review/4
+exec java -Xmx512m -cp target/mallowroad.jar:target/review-2 review2.Run NoticeOnSlowLink review/4
--- a/review/stand-ins-2/review2/Cloud.java
+++ b/review/stand-ins-2/review2/Cloud.java
@@ -143,10 +143,22 @@
     return answer;
   }
 
+  /** Prepares a worker before its machine boots. */
+  interface Setup {
+    void apply(Worker worker) throws IOException;
+  }
+
   /** Adds a machine that boots now. */
-  synchronized Worker add(MachineType type, String zone, boolean spot) throws IOException {
+  Worker add(MachineType type, String zone, boolean spot) throws IOException {
+    return add(type, zone, spot, worker -> {});
+  }
+
+  /** Adds a machine that boots now, after {@code setup}. */
+  synchronized Worker add(MachineType type, String zone, boolean spot, Setup setup)
+      throws IOException {
     String name = String.format("n-%06d", ++machineCount);
     Worker worker = new Worker(world, name, type, zone, spot);
+    setup.apply(worker);
     machines.put(name, worker);
     ObjectNode description = World.JSON.createObjectNode();
     description.put("name_id", name).put("address", worker.address()).put("build", type.label());
@@ -168,6 +180,15 @@
     }
   }
 
+  /** Takes a spot machine back; the list omits it from then on. */
+  synchronized void take(Worker worker) {
+    if (machines.remove(worker.name) != null) {
+      world.record("the cloud takes %s", worker.name);
+      deletedMs.put(worker.name, world.nowMs());
+      worker.end();
+    }
+  }
+
   synchronized List<Worker> workers() {
     return List.copyOf(machines.values());
   }
--- a/review/stand-ins-2/review2/Worker.java
+++ b/review/stand-ins-2/review2/Worker.java
@@ -67,6 +67,13 @@
   private long leaseFromMs;
   private long lastTokenChangeMs = Long.MIN_VALUE / 2;
   private int node;
+  private SlowLink ordersLink;
+  private final List<SlowLink> reportLinks = new ArrayList<>();
+
+  /** When the cloud takes the machine; 0 without a notice. */
+  private long takenMs;
+
+  private long answeredMs = -1;
 
   Worker(World world, String name, Cloud.MachineType type, String zone, boolean spot)
       throws IOException {
@@ -82,7 +89,28 @@
   }
 
   String address() {
-    return "127.0.0.1:" + server.getAddress().getPort();
+    int port = ordersLink == null ? server.getAddress().getPort() : ordersLink.port();
+    return "127.0.0.1:" + port;
+  }
+
+  /** Delays all that this worker and the controllers send to each other; called before the boot. */
+  void useSlowLink(long delayMs, SlowLink.Observer orders) throws IOException {
+    ordersLink = new SlowLink(world, server.getAddress().getPort(), delayMs, orders);
+    for (int port : world.listenPorts) {
+      reportLinks.add(new SlowLink(world, port, delayMs, part -> {}));
+    }
+  }
+
+  /** Tells the worker that the cloud takes the machine back. */
+  synchronized void notice(long noticeMs) {
+    takenMs = world.nowMs() + noticeMs;
+    changed = true;
+    world.record("%s: notice of %d ms", name, noticeMs);
+  }
+
+  /** The time since the last answer to a report, or -1 while a report is in flight. */
+  synchronized long sinceAnswerMs() {
+    return answeredMs < 0 ? -1 : world.nowMs() - answeredMs;
   }
 
   void boot(long bootMs) {
@@ -252,7 +280,12 @@
     ObjectNode report = World.JSON.createObjectNode();
     report.put("hearth", name).put("address", address()).put("build", type.label());
     report.put("ground", zone).put("driftwood", spot).put("watch", watch).put("tally", ++tally);
-    report.put("baton", baton).putNull("warning_s");
+    report.put("baton", baton);
+    if (takenMs == 0) {
+      report.putNull("warning_s");
+    } else {
+      report.put("warning_s", Math.max(0, takenMs - world.nowMs()) / 1000.0);
+    }
     ArrayNode moves = report.putArray("moves");
     for (Attempt attempt : attempts.values()) {
       ObjectNode move = moves.addObject().put("move", attempt.move).put("try", attempt.number);
@@ -292,6 +325,7 @@
     long session;
     synchronized (this) {
       sentMs = world.nowMs();
+      answeredMs = -1;
       session = watch;
       body = report().toString();
     }
@@ -300,7 +334,10 @@
     }
     HttpResponse<String> response;
     try {
-      int port = world.workerProxies.get(node).port();
+      int port =
+          reportLinks.isEmpty()
+              ? world.workerProxies.get(node).port()
+              : reportLinks.get(node).port();
       response = world.send("POST", port, "/v1/report", body, ANSWER_TIMEOUT_MS);
     } catch (IOException e) {
       tryNextNode();
@@ -315,6 +352,7 @@
       return;
     }
     synchronized (this) {
+      answeredMs = world.nowMs();
       receive(response.body(), sentMs, session);
     }
   }
