--- a/review/stand-ins-2/review2/NoticeOnSlowLink.java
+++ b/review/stand-ins-2/review2/NoticeOnSlowLink.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * All that one spot machine and the controllers send to each other takes 1.2 s. While a direct
+ * All that one spot machine and the controllers send to each other takes 1 s. While a direct
  * launch is on its way to the machine, another task is placed on it, and the cloud gives notice of
  * taking it back. No task may start on one machine while it is on another.
  */
 final class NoticeOnSlowLink {
-  private static final long DELAY_MS = 1_200;
+  private static final long DELAY_MS = 1_000;
   private static final long NOTICE_MS = 15_000;
   private static final String TEAM = "go-teachers";
   private static final String LONG = "job-000401";
@@ -67,7 +67,11 @@
     }
     // Between two reports of the spot machine a job comes that is launched on it directly.
     World.sleep(3_000);
-    while (spot.sinceAnswerMs() < 0 || spot.sinceAnswerMs() > 100) {
+    deadline = world.nowMs() + 40_000;
+    while (!spot.isSilentFor(700)) {
+      if (world.nowMs() > deadline) {
+        World.exit(world, World.NOT_RUN);
+      }
       World.sleep(5);
     }
     accepted = world.submit(job(EARLIER, 1, "pawn-small"));
@@ -77,12 +81,10 @@
     }
     world.record("a direct launch of %s/0 is on its way", EARLIER);
     accepted = world.submit(job(LATER, 1, null));
-    World.sleep(300);
+    World.sleep(200);
     spot.notice(NOTICE_MS);
     long takenMs = world.nowMs() + NOTICE_MS;
-    while (world.nowMs() < takenMs) {
-      World.sleep(20);
-    }
+    World.sleep(takenMs - world.nowMs());
     world.cloud.take(spot);
     boolean isDone = accepted && world.awaitState(LATER, "done", 45_000);
     world.recordLogs("ERROR|event=task_failed|event=deposed");
--- a/review/stand-ins-2/review2/Worker.java
+++ b/review/stand-ins-2/review2/Worker.java
@@ -75,6 +75,9 @@
 
   private long answeredMs = -1;
 
+  /** When the next report is due if nothing changes. */
+  private long nextReportMs;
+
   Worker(World world, String name, Cloud.MachineType type, String zone, boolean spot)
       throws IOException {
     this.world = world;
@@ -108,9 +111,9 @@
     world.record("%s: notice of %d ms", name, noticeMs);
   }
 
-  /** The time since the last answer to a report, or -1 while a report is in flight. */
-  synchronized long sinceAnswerMs() {
-    return answeredMs < 0 ? -1 : world.nowMs() - answeredMs;
+  /** True when no report is in flight, and none is due for this long if nothing changes. */
+  synchronized boolean isSilentFor(long ms) {
+    return answeredMs >= 0 && !changed && nextReportMs - world.nowMs() >= ms;
   }
 
   void boot(long bootMs) {
@@ -307,6 +310,7 @@
             return;
           }
           long gapMs = world.nowMs() - lastMs;
+          nextReportMs = lastMs + intervalMs;
           if (gapMs >= intervalMs || (changed && gapMs >= MIN_REPORT_GAP_MS)) {
             changed = false;
             break;
