--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -7,7 +7,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -24,6 +24,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 import org.mallowroad.fake.FakeStateService;
 
@@ -129,10 +130,21 @@
     record("trouble=%s", trouble);
   }
 
+  /**
+   * A free port below the usual range of outgoing connections, so that none of them takes it before
+   * the controller listens on it.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 200; i++) {
+      int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (IOException e) {
+        // In use; the next one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   static void sleep(long ms) {
