--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 import org.mallowroad.fake.FakeStateService;
 
@@ -42,6 +41,8 @@
   /** The longest time a case may run. */
   private static final long WATCHDOG_MS = 116_000;
 
+  private static int nextPort;
+
   final long startNs = System.nanoTime();
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   final ExecutorService threads =
@@ -132,11 +133,12 @@
 
   /**
    * A free port below the usual range of outgoing connections, so that none of them takes it before
-   * the controller listens on it.
+   * the controller listens on it; from a block of this process, so that no run beside it does.
    */
   static int freePort() throws IOException {
-    for (int i = 0; i < 200; i++) {
-      int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+    int first = 12_000 + (int) (ProcessHandle.current().pid() % 600) * 30;
+    while (nextPort < 30) {
+      int port = first + nextPort++;
       try (ServerSocket socket = new ServerSocket()) {
         socket.bind(new InetSocketAddress("127.0.0.1", port));
         return port;
