A response on its way counts until the worker's next report

Cause: the worker's answer to a direct command is newer than the report whose response is still on its way. The leader took it as proof that an attempt which it does not list never started, freed it and started the task again; then the response arrived and started it too. Only the worker's next report proves that a response can no longer arrive, since the worker has one report in flight at a time.

Change: LaunchMessages keeps which messages carried an attempt's launch; HeartbeatReconciler.provesUnlistedGone is the one place that concludes from a missing entry. Heartbeats in answers to direct commands are told apart from reports.

--- a/src/main/java/org/mallowroad/controller/DirectCommandSender.java
+++ b/src/main/java/org/mallowroad/controller/DirectCommandSender.java
@@ -87,7 +87,7 @@
       schedulerState.heartbeatReconciler().directCommandsAnswered(machine, commands);
     }
     if (heartbeat != null && heartbeat.machine().equals(machine.name)) {
-      schedulerState.processHeartbeat(machine, heartbeat, false, context.loop().now());
+      schedulerState.processCommandResponse(machine, heartbeat, context.loop().now());
       onStateChanged.run();
     }
   }
--- a/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
+++ b/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
@@ -229,8 +229,7 @@
             && !attempt.isStopping()
             && attempt.incarnation == heartbeat.incarnation()
             && context.lease().isValid()) {
-          attempt.launchSent = true;
-          attempt.launchInHeartbeatResponse = true;
+          attempt.launchMessages.recordResponse(heartbeat.sequence());
           commands.add(schedulerState.heartbeatReconciler().launchCommand(attempt));
         }
       }
--- a/src/main/java/org/mallowroad/core/Attempt.java
+++ b/src/main/java/org/mallowroad/core/Attempt.java
@@ -58,20 +58,8 @@
   /** True when an earlier leader created the attempt, so its real start of running is unknown. */
   boolean restoredFromRecord;
 
-  /** True once a heartbeat response has carried the launch. */
-  public boolean launchInHeartbeatResponse;
-
-  /** True once the launch was sent, in a heartbeat response or a direct command. */
-  public boolean launchSent;
-
-  /**
-   * True while a direct command with the launch is unanswered. The worker may execute the launch at
-   * any later time, unless its incarnation or fencing token rises or the machine is deleted.
-   */
-  public boolean launchInFlight;
-
-  /** The fencing token of the direct command that carried the launch; 0 when there was none. */
-  long launchToken;
+  /** The messages that carried the launch. */
+  public final LaunchMessages launchMessages = new LaunchMessages();
 
   /** Time of the first heartbeat that reported the task running; 0 before that. */
   long runningSinceMs;
--- a/src/main/java/org/mallowroad/core/AttemptTracker.java
+++ b/src/main/java/org/mallowroad/core/AttemptTracker.java
@@ -19,7 +19,8 @@
  *   <li>the worker sends a heartbeat with a later incarnation, since a new session starts without
  *       tasks;
  *   <li>a worker that has seen this term's fencing token sends a newer heartbeat that does not list
- *       the attempt, and no launch of the attempt is in flight ({@link HeartbeatReconciler});
+ *       the attempt, and no message that may still arrive carries its launch ({@link
+ *       LaunchMessages});
  *   <li>the cloud confirms the deletion of the machine, or lists it as failed;
  *   <li>the worker's lease must have expired, see {@link #leaseExpiryMs};
  *   <li>the attempt was never committed, so its launch was never sent and never will be.
--- a/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
+++ b/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
@@ -53,11 +53,18 @@
     this.imageDistribution = imageDistribution;
   }
 
+  /** How a heartbeat reached the leader. */
+  private enum Source {
+    /** The worker sent it by itself and waits for the response. */
+    REPORT,
+    /** It is the worker's answer to direct commands; no response is sent to it. */
+    COMMAND_RESPONSE
+  }
+
   /**
-   * Applies a worker's heartbeat and returns the commands for the worker.
+   * Applies a heartbeat that a worker sent by itself and returns the commands for the worker.
    *
-   * @param mayLaunch false while the leader cannot reach the state service, and for a heartbeat
-   *     that answers direct commands, since no response is sent to it
+   * @param mayLaunch false while the leader cannot reach the state service
    * @return null when the heartbeat is not newer than the newest one seen and must be ignored
    */
   public List<WorkerCommand> reconcile(
@@ -65,8 +72,20 @@
     if (isOutdated(machine, heartbeat)) {
       return null;
     }
+    return apply(machine, heartbeat, Source.REPORT, mayLaunch, now);
+  }
+
+  /** Applies the heartbeat in a worker's answer to direct commands, unless it is outdated. */
+  void reconcileCommandResponse(Machine machine, Heartbeat heartbeat, long now) {
+    if (!isOutdated(machine, heartbeat)) {
+      apply(machine, heartbeat, Source.COMMAND_RESPONSE, false, now);
+    }
+  }
+
+  private List<WorkerCommand> apply(
+      Machine machine, Heartbeat heartbeat, Source source, boolean mayLaunch, long now) {
     recordDeliveryEvidence(machine, heartbeat, mayLaunch, now);
-    applySession(machine, heartbeat, now);
+    applySession(machine, heartbeat, source, now);
     applyMachineStatus(machine, heartbeat, now);
     raiseFencingToken(machine, heartbeat, now);
     List<WorkerCommand> commands = new ArrayList<>();
@@ -115,8 +134,9 @@
   }
 
   /** Applies the worker's incarnation and token, and resolves the attempts they prove gone. */
-  private void applySession(Machine machine, Heartbeat heartbeat, long now) {
+  private void applySession(Machine machine, Heartbeat heartbeat, Source source, long now) {
     if (heartbeat.incarnation() > machine.incarnation) {
+      machine.reportSequence = 0;
       imageDistribution.removeMachine(machine); // The new session's image cache may be empty.
       machine.unfencedLaunches.clear(); // The new session does not execute them.
       machine.exitsAwaitingTokenSinceMs = -1;
@@ -128,12 +148,14 @@
     // (docs/incidents, stuck-of-an-earlier-session).
     for (Attempt attempt : new ArrayList<>(machine.attempts)) {
       if (attempt.incarnation < heartbeat.incarnation()) {
-        attempt.launchInFlight = false;
         attempts.resolve(attempt, AttemptOutcome.LOST, now);
       }
     }
     machine.incarnation = heartbeat.incarnation();
     machine.sequence = heartbeat.sequence();
+    if (source == Source.REPORT) {
+      machine.reportSequence = heartbeat.sequence();
+    }
     machine.highestTokenSeen = Math.max(machine.highestTokenSeen, heartbeat.fencingToken());
   }
 
@@ -141,14 +163,8 @@
    * Drops launches with a lower token than the worker has seen, since it rejects them from now on.
    */
   private static void dropFencedLaunches(Machine machine, long tokenSeen) {
-    if (machine.unfencedLaunches.isEmpty()) {
-      return;
-    }
-    machine.unfencedLaunches.values().removeIf(token -> token < tokenSeen);
-    for (Attempt attempt : machine.attempts) {
-      if (attempt.launchInFlight && attempt.launchToken < tokenSeen) {
-        attempt.launchInFlight = false;
-      }
+    if (!machine.unfencedLaunches.isEmpty()) {
+      machine.unfencedLaunches.values().removeIf(token -> token < tokenSeen);
     }
   }
 
@@ -174,9 +190,7 @@
     boolean raiseNeeded = exitsNeedHigherToken(machine, heartbeat, now);
     for (Attempt attempt : machine.attempts) {
       raiseNeeded |=
-          attempt.launchInFlight
-              && attempt.isStopping()
-              && attempt.launchToken == machine.fencingToken;
+          attempt.isStopping() && attempt.launchMessages.mayArriveInCommand(machine.fencingToken);
     }
     raiseNeeded |= machine.health.outboundReachability().startProbeIfDue(now);
     // At the block's last token there is no higher one, so launches go in responses only.
@@ -215,7 +229,7 @@
         answerUnknownAttempt(machine, entry, taskExists ? job : null, now, commands);
         continue;
       }
-      if (attempt.launchInHeartbeatResponse && attempt.phase == Attempt.Phase.READY) {
+      if (attempt.launchMessages.wasInResponse() && attempt.phase == Attempt.Phase.READY) {
         machine.health.outboundReachability().recordAcknowledged();
       }
       listedAttempts.add(attempt);
@@ -306,32 +320,37 @@
       boolean mayLaunch,
       long now,
       List<WorkerCommand> commands) {
-    boolean hasSeenTermToken = heartbeat.fencingToken() >= timing.term();
     boolean launchUnacknowledged = false;
     for (Attempt attempt : new ArrayList<>(machine.attempts)) {
       if (attempt.incarnation != heartbeat.incarnation() || listedAttempts.contains(attempt)) {
         continue;
       }
       boolean ready = attempt.phase == Attempt.Phase.READY;
-      launchUnacknowledged |= attempt.launchInHeartbeatResponse && ready;
+      launchUnacknowledged |= attempt.launchMessages.wasInResponse() && ready;
       if (ready && !attempt.isStopping()) {
         if (mayLaunch) {
-          attempt.launchSent = true;
-          attempt.launchInHeartbeatResponse = true;
+          attempt.launchMessages.recordResponse(heartbeat.sequence());
           commands.add(launchCommand(attempt));
         }
       } else if (attempt.phase != Attempt.Phase.RECORDING
-          && hasSeenTermToken
-          && !attempt.launchInFlight) {
-        // A newer heartbeat from a worker that has seen this term's token proves that an unlisted
-        // attempt has ended or never started, even when a heartbeat response carried its launch.
-        // Only a direct command that is still in flight could start it later.
+          && provesUnlistedGone(attempt, heartbeat)) {
         attempts.resolve(attempt, AttemptOutcome.LOST, now);
       }
     }
     return launchUnacknowledged;
   }
 
+  /**
+   * True when a heartbeat that does not list the attempt proves that it has ended or never started:
+   * no message can start it any more. The worker rejects the messages of earlier terms once it has
+   * seen this term's token; {@link LaunchMessages} tells of those of this term.
+   */
+  private boolean provesUnlistedGone(Attempt attempt, Heartbeat heartbeat) {
+    return heartbeat.fencingToken() >= timing.term()
+        && !attempt.launchMessages.mayArriveInResponse(attempt.machine.reportSequence)
+        && !attempt.launchMessages.mayArriveInCommand(heartbeat.fencingToken());
+  }
+
   /**
    * Launch command for an attempt, with image sources if its worker can fetch from other workers.
    */
@@ -376,11 +395,9 @@
       }
       if (canLaunch
           && attempt.phase == Attempt.Phase.READY
-          && !attempt.launchSent
+          && !attempt.launchMessages.isSent()
           && !attempt.isStopping()) {
-        attempt.launchSent = true;
-        attempt.launchInFlight = true;
-        attempt.launchToken = machine.fencingToken;
+        attempt.launchMessages.recordCommand(machine.fencingToken);
         machine.unfencedLaunches.put(attempt.key(), machine.fencingToken);
         commands.add(launchCommand(attempt));
       } else if (attempt.isStopping()
@@ -416,7 +433,7 @@
         if (attempt.job.spec.id().equals(command.job())
             && attempt.task == command.task()
             && attempt.number == command.attempt()) {
-          attempt.launchInFlight = false;
+          attempt.launchMessages.recordCommandSettled();
         }
       }
     }
@@ -428,9 +445,9 @@
    */
   public boolean needsDeletionToFence(Machine machine, long now) {
     for (Attempt attempt : machine.attempts) {
-      if (attempt.launchInFlight
-          && attempt.isStopping()
+      if (attempt.isStopping()
           && attempt.phase == Attempt.Phase.READY
+          && attempt.launchMessages.mayArriveInCommand(machine.highestTokenSeen)
           && now - attempt.stopRequestedMs > DELETE_TO_FENCE_AFTER_MS) {
         return true;
       }
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -36,6 +36,12 @@
   /** The highest heartbeat sequence number seen of that incarnation. */
   public long sequence;
 
+  /**
+   * The highest sequence number of that incarnation among the heartbeats that the worker sent by
+   * itself, that is without those in answers to direct commands; 0 before the first one.
+   */
+  long reportSequence;
+
   /** The highest fencing token that the worker has acknowledged in a heartbeat. */
   public long highestTokenSeen;
 
--- a/src/main/java/org/mallowroad/core/SchedulerState.java
+++ b/src/main/java/org/mallowroad/core/SchedulerState.java
@@ -402,10 +402,9 @@
   }
 
   /**
-   * Applies a worker's heartbeat and returns the commands for the worker.
+   * Applies a heartbeat that a worker sent by itself and returns the commands for the worker.
    *
-   * @param mayLaunch false while the leader cannot reach the state service, and for a heartbeat
-   *     that answers direct commands
+   * @param mayLaunch false while the leader cannot reach the state service
    * @return null when the heartbeat is not newer than the newest one seen and must be ignored
    */
   public List<WorkerCommand> processHeartbeat(
@@ -413,6 +412,11 @@
     return heartbeatReconciler.reconcile(machine, heartbeat, mayLaunch, now);
   }
 
+  /** Applies the heartbeat in a worker's answer to direct commands. */
+  public void processCommandResponse(Machine machine, Heartbeat heartbeat, long now) {
+    heartbeatReconciler.reconcileCommandResponse(machine, heartbeat, now);
+  }
+
   /** The component that processes heartbeats and creates worker commands. */
   public HeartbeatReconciler heartbeatReconciler() {
     return heartbeatReconciler;
