--- a/src/main/java/org/mallowroad/cli/Experiment.java
+++ b/src/main/java/org/mallowroad/cli/Experiment.java
@@ -62,6 +62,13 @@
           "Histories in which two or three troubles meet while users cancel jobs that run long.")
   private boolean meetings;
 
+  @Option(
+      names = "--delayed",
+      description =
+          "Histories in which responses to reports are delayed, commands arrive late or again, and"
+              + " machines restart.")
+  private boolean delayed;
+
   @Option(
       names = "--ratings",
       description =
@@ -282,6 +289,9 @@
     if (meetings) {
       return Scenario.overlappingFaults(seed, !without);
     }
+    if (delayed) {
+      return Scenario.delayedMessages(seed, !without);
+    }
     if (waves) {
       return Scenario.imageFetchWaves(seed, !without);
     }
--- a/src/main/java/org/mallowroad/simulation/CloudModel.java
+++ b/src/main/java/org/mallowroad/simulation/CloudModel.java
@@ -136,7 +136,7 @@
             .put("build", TYPE)
             .put("ground", worker.zone)
             .put("driftwood", false)
-            .put("standing", worker.isAlive() ? "running" : "failed")
+            .put("standing", worker.hasFailed() ? "failed" : "running")
             .put("age_s", (ageMs - LIST_LAG_MS) / 1000.0);
       }
     }
--- a/src/main/java/org/mallowroad/simulation/Fault.java
+++ b/src/main/java/org/mallowroad/simulation/Fault.java
@@ -136,6 +136,16 @@
      * controllers, resubmit it on some and, after some submissions, cancel it.
      */
     CLOSE_LOOKS(false),
+    /**
+     * One in {@code 1 + count} responses to workers' reports is delayed by up to 3.8 s, while
+     * direct commands and their answers overtake it.
+     */
+    DELAYED_RESPONSES(false),
+    /**
+     * {@code count} machines restart under their names, each at a random moment, and are back
+     * within a second with incarnation 1, fencing token 0 and no tasks.
+     */
+    MACHINES_BACK(false),
     /** New machines boot within 2 s. */
     QUICK_BOOTS(false),
     /** Users submit {@code count} one-task jobs a second and cancel a quarter of them. */
--- a/src/main/java/org/mallowroad/simulation/Network.java
+++ b/src/main/java/org/mallowroad/simulation/Network.java
@@ -141,6 +141,9 @@
   /** If above 0, one in this many direct commands is executed late and never answered. */
   int lateCommandOneIn;
 
+  /** If above 0, one in this many responses to reports is delayed; other messages overtake it. */
+  int delayedResponseOneIn;
+
   /** If above 0, a copy of one in this many reports is stored for {@link #replayReports}. */
   int replayReportOneIn;
 
@@ -154,6 +157,14 @@
   /** Minimum delay of a late transaction or command. */
   private static final long MIN_LATE_US = 2_000_000;
 
+  /** Minimum delay of a delayed response. */
+  private static final long MIN_RESPONSE_DELAY_US = 300_000;
+
+  /**
+   * With the minimum and the latency less than a worker's timeout of 4 s, so that it is in time.
+   */
+  private static final long RESPONSE_DELAY_SPREAD_US = 3_500_000;
+
   private static final long LATE_WRITE_SPREAD_US = 10_000_000;
   private static final long LATE_COMMAND_SPREAD_US = 14_000_000;
 
@@ -247,7 +258,10 @@
             // The host of an ended controller refuses connections; a lost machine does not answer.
             if (receiver.kind == Kind.NODE) {
               sendAnswer(
-                  receiver, sender, () -> call.complete(() -> responseHandler.onFailure(false)));
+                  target,
+                  receiver,
+                  sender,
+                  () -> call.complete(() -> responseHandler.onFailure(false)));
             }
             return;
           }
@@ -262,6 +276,7 @@
                       body,
                       (status, bytes) ->
                           sendAnswer(
+                              target,
                               receiver,
                               sender,
                               () ->
@@ -413,6 +428,21 @@
     eventQueue.schedule(LATENCY_US + random.nextLong(DUPLICATE_SPREAD_US), null, delivery);
   }
 
+  /** Sends an answer, after a delay if it is a response to a report and one of those to delay. */
+  private void sendAnswer(String target, Party responder, Party caller, Runnable arrival) {
+    if (delayedResponseOneIn > 0
+        && target.equals("/v1/report")
+        && caller.kind == Kind.WORKER
+        && random.nextInt(delayedResponseOneIn) == 0) {
+      eventQueue.schedule(
+          MIN_RESPONSE_DELAY_US + random.nextLong(RESPONSE_DELAY_SPREAD_US),
+          null,
+          () -> sendAnswer(responder, caller, arrival));
+    } else {
+      sendAnswer(responder, caller, arrival);
+    }
+  }
+
   /**
    * Sends an answer. A cut in mode {@link Mode#HOLD} delays it; any other cut except {@link
    * Mode#LOSSY} loses it, and the call ends with its timeout.
--- a/src/main/java/org/mallowroad/simulation/Scenario.java
+++ b/src/main/java/org/mallowroad/simulation/Scenario.java
@@ -112,6 +112,9 @@
 
   private static final double TIGHT_LIMITS_FACTOR = 0.5;
 
+  /** In scenarios with delayed messages, one in two to one in this many responses is delayed. */
+  private static final int MAX_DELAYED_RESPONSE_RARITY = 4;
+
   /** Creates a scenario with ordinary jobs only and the usual team limits. */
   public Scenario(long seed, int nodes, int machines, int jobs, boolean links, List<Fault> faults) {
     this(seed, nodes, machines, jobs, links, faults, 0, 0, 0, 1);
@@ -276,6 +279,43 @@
         seed, nodes, machines, jobs, links, faults, 0, 0, 0, tightLimits ? TIGHT_LIMITS_FACTOR : 1);
   }
 
+  /**
+   * Returns a random scenario with overlapping faults in which responses to workers' reports are
+   * delayed while direct commands overtake them. Every second one also has duplicates of requests
+   * or late commands, and every second one machines that restart within a second.
+   */
+  public static Scenario delayedMessages(long seed, boolean links) {
+    SplittableRandom random = new SplittableRandom(seed * 43 + 13);
+    Scenario base = overlappingFaults(seed, links);
+    List<Fault> faults = new ArrayList<>(base.faults);
+    faults.add(
+        new Fault(
+            Fault.Kind.DELAYED_RESPONSES,
+            5_000,
+            80_000,
+            0,
+            0,
+            "a",
+            "",
+            0,
+            random.nextInt(1, MAX_DELAYED_RESPONSE_RARITY)));
+    Fault singleJobs =
+        randomFault(Fault.Kind.SINGLE_JOBS, 8_000 + random.nextLong(30_000), base.nodes, random);
+    if (base.limits >= 1) {
+      faults.add(singleJobs); // Reduced limits do not admit all of these jobs in time.
+    }
+    if (random.nextBoolean()) {
+      Fault.Kind kind = random.nextBoolean() ? Fault.Kind.COPIES : Fault.Kind.LATE_COMMANDS;
+      faults.add(randomFault(kind, 5_000 + random.nextLong(30_000), base.nodes, random));
+    }
+    if (random.nextBoolean()) {
+      faults.add(
+          randomFault(
+              Fault.Kind.MACHINES_BACK, 10_000 + random.nextLong(40_000), base.nodes, random));
+    }
+    return base.withFaults(faults);
+  }
+
   /** Returns a random scenario with rating jobs that fold games, and dependent print jobs. */
   public static Scenario ratingJobs(long seed, boolean links) {
     SplittableRandom random = new SplittableRandom(seed * 29 + 3);
--- a/src/main/java/org/mallowroad/simulation/Simulation.java
+++ b/src/main/java/org/mallowroad/simulation/Simulation.java
@@ -37,6 +37,7 @@
   public static final long SERVED_WITHIN_MS = 110_000;
 
   private static final long MAX_CRASH_DOWNTIME_MS = 3_000;
+  private static final long MAX_MACHINE_RESTART_DOWNTIME_US = 1_000_000;
   private static final int MAX_HUNG_MACHINES = 8;
 
   /** Jobs of CANCEL_NOW are submitted this long before the fault and then run for 70 s. */
@@ -719,6 +720,11 @@
         users.checksClosely = true;
         yield () -> users.checksClosely = false;
       }
+      case DELAYED_RESPONSES -> {
+        network.delayedResponseOneIn = 1 + fault.count();
+        yield () -> network.delayedResponseOneIn = 0;
+      }
+      case MACHINES_BACK -> restartMachines(fault);
       case QUICK_BOOTS -> {
         cloud.quickBoots = true;
         yield () -> cloud.quickBoots = false;
@@ -895,6 +901,19 @@
     return () -> {};
   }
 
+  private Runnable restartMachines(Fault fault) {
+    for (int i = 0; i < fault.count(); i++) {
+      eventQueue.schedule(
+          random.nextLong(fault.forMs() * 1_000),
+          null,
+          () ->
+              randomWorkers(1)
+                  .forEach(
+                      w -> w.restartMachine(random.nextLong(MAX_MACHINE_RESTART_DOWNTIME_US))));
+    }
+    return () -> {};
+  }
+
   private Runnable hangWorkers(int count) {
     List<WorkerModel> hung = randomWorkers(count);
     hung.forEach(EventQueue.Actor::freeze);
--- a/src/main/java/org/mallowroad/simulation/WorkerModel.java
+++ b/src/main/java/org/mallowroad/simulation/WorkerModel.java
@@ -82,6 +82,7 @@
   private boolean changedSinceReport;
   private long lastReportSentMs;
   private int reportTimer;
+  private boolean restarting;
   private long longestSilenceMs;
 
   WorkerModel(
@@ -148,9 +149,37 @@
   /** Ends the worker and its tasks because the machine is gone. */
   void machineGone(String reason) {
     checker.observeMachineGone(name, reason);
+    restarting = false;
     terminate();
   }
 
+  /** Restarts the machine under its name, with nothing of what it knew. */
+  void restartMachine(long downtimeUs) {
+    machineGone("restarted");
+    tasks.clear();
+    cachedImages.clear();
+    incarnation = 1;
+    fencingToken = 0;
+    reportSequence = 0;
+    reportInFlight = false;
+    restarting = true;
+    eventQueue.schedule(
+        downtimeUs,
+        null,
+        () -> {
+          if (restarting) {
+            restarting = false;
+            revive();
+            machineBooted();
+          }
+        });
+  }
+
+  /** Returns whether the machine has stopped on its own and will not be back. */
+  boolean hasFailed() {
+    return !isAlive() && !restarting;
+  }
+
   /**
    * Kills and forgets all tasks and starts a new incarnation once the last answered report was sent
    * longer ago than the lease. A machine that hangs may keep its tasks only within the lease, so
--- a/src/test/java/org/mallowroad/simulation/SimulationTest.java
+++ b/src/test/java/org/mallowroad/simulation/SimulationTest.java
@@ -200,6 +200,34 @@
     assertEquals(0, result.unfinishedJobs());
   }
 
+  /**
+   * Responses to reports are delayed while direct commands overtake them, commands arrive late or
+   * twice, and machines restart with nothing of what they knew.
+   */
+  @Test
+  void delayedMessagesBreakNoRule() {
+    List<String> failures =
+        LongStream.rangeClosed(1, SEED_COUNT)
+            .parallel()
+            .mapToObj(seed -> runSimulation(Scenario.delayedMessages(seed, true)))
+            .filter(result -> !result.hasNoBreaches())
+            .map(Simulation.Result::summaryLine)
+            .toList();
+    assertEquals(List.of(), failures);
+  }
+
+  /**
+   * These seeds once broke a team's limit: a delayed response started a task that had counted as
+   * gone since an answer to a direct command, which overtook the response, did not list it.
+   */
+  @Test
+  void seedsThatOnceFailedWithDelayedMessagesBreakNoRule() {
+    for (long seed : new long[] {751, 1454}) {
+      Simulation.Result result = runSimulation(Scenario.delayedMessages(seed, true));
+      assertEquals(List.of(), result.breaches());
+    }
+  }
+
   /**
    * Rating jobs, corrections and prints run under the same faults: no game may be folded twice or
    * skipped, and no print may start before the games and jobs that it waits for are done.
