Flaky tests: tasks run until the leader is stopped; a port that refuses stays bound

Cause: ServiceTest#jobsSurviveAKilledLeaderAndLostResponses looked for running tasks after the last acceptance, which a lost response delays beyond their 1.5 s. ClusterQueryTest#unresponsiveNodesDelayTheOverviewByAtMostTheirTimeout released a port and took it for unused; another process could listen there.

Change: the fake cloud keeps tasks running until the leader is stopped; the port stays bound by a socket that does not listen. Both tests check what they checked before.

--- a/src/test/java/org/mallowroad/console/ask/ClusterQueryTest.java
+++ b/src/test/java/org/mallowroad/console/ask/ClusterQueryTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -36,6 +38,13 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  /** A socket that refuses connections and keeps its port from every other process. */
+  private static Socket boundSocket() throws IOException {
+    Socket socket = new Socket();
+    socket.bind(new InetSocketAddress("127.0.0.1", 0));
+    return socket;
+  }
+
   private record TestCase(int status, String body, Standing standing, String problem) {}
 
   @Test
@@ -88,16 +97,13 @@
   void unresponsiveNodesDelayTheOverviewByAtMostTheirTimeout() throws Exception {
     HttpServer responsive =
         startServer(200, "{\"format\":1,\"node\":\"n\",\"stack\":[],\"picture\":null}");
-    int unusedPort;
-    try (ServerSocket server = new ServerSocket(0)) {
-      unusedPort = server.getLocalPort();
-    }
     try (ServerSocket hanging = new ServerSocket(0);
+        Socket notListening = boundSocket();
         ClusterQuery clusterQuery =
             new ClusterQuery(
                 List.of(
                     "127.0.0.1:" + hanging.getLocalPort(),
-                    "127.0.0.1:" + unusedPort,
+                    "127.0.0.1:" + notListening.getLocalPort(),
                     "no-such-host.invalid:7070",
                     addressOf(responsive)),
                 "")) {
--- a/src/test/java/org/mallowroad/controller/ServiceTest.java
+++ b/src/test/java/org/mallowroad/controller/ServiceTest.java
@@ -141,6 +141,8 @@
   void jobsSurviveAKilledLeaderAndLostResponses() throws Exception {
     state.lostResponseInterval = 5;
     cloud.taskMs = 1500;
+    // A lost response may delay the last acceptance beyond the run time of the other tasks.
+    cloud.keepsTasksRunning = true;
     for (int i = 1; i <= 4; i++) {
       String submission = submission("job-00000" + i, 5, 1);
       await("acceptance", () -> status("POST", "/v1/jobs", submission) / 100 == 2);
@@ -150,6 +152,7 @@
     assertNotNull(leader);
     nodes.remove(leader).stop();
     addresses.remove(leader);
+    cloud.keepsTasksRunning = false;
     await("another leader", () -> state.leaderName() != null && !state.leaderName().equals(leader));
     for (int i = 1; i <= 4; i++) {
       String id = "job-00000" + i;
