--- a/src/main/java/org/mallowroad/controller/DirectCommandSender.java
+++ b/src/main/java/org/mallowroad/controller/DirectCommandSender.java
@@ -53,7 +53,7 @@
       List<WorkerCommand> commands =
           machine.isEmpty() || machine.address.isEmpty()
               ? List.of()
-              : schedulerState.heartbeatReconciler().takeDirectCommands(machine, isLeaseValid, now);
+              : schedulerState.directCommandPlanner().takeCommands(machine, isLeaseValid, now);
       if (isLeaseValid || !commands.isEmpty()) {
         // Commands that cannot be sent now are included in the answer to the next heartbeat.
         iterator.remove();
@@ -84,7 +84,7 @@
       return;
     }
     if (delivery == WorkerClient.DeliveryResult.NOT_SENT) {
-      schedulerState.heartbeatReconciler().directCommandsNotSent(machine, commands);
+      schedulerState.directCommandPlanner().recordNotSent(machine, commands);
     }
     if (heartbeat != null && heartbeat.machine().equals(machine.name)) {
       schedulerState.processCommandResponse(machine, heartbeat, context.loop().now());
--- a/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
+++ b/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
@@ -231,7 +231,7 @@
             && attempt.incarnation == heartbeat.incarnation()
             && context.lease().isValid()) {
           attempt.launchMessages.recordResponse(heartbeat.sequence());
-          commands.add(schedulerState.heartbeatReconciler().launchCommand(attempt));
+          commands.add(schedulerState.commandFactory().launch(attempt));
         }
       }
     }
--- a/src/main/java/org/mallowroad/controller/provisioning/FailureResponder.java
+++ b/src/main/java/org/mallowroad/controller/provisioning/FailureResponder.java
@@ -296,7 +296,7 @@
   }
 
   private void evaluate(Machine machine, FailureDetector failureDetector, long now) {
-    if (schedulerState.heartbeatReconciler().needsDeletionToFence(machine, now)) {
+    if (schedulerState.directCommandPlanner().needsDeletionToFence(machine, now)) {
       machine.deleting = true;
       logMachine(machine.name, "machine_deleted_to_fence", 0);
     } else if (machine.health.outboundReachability().isBroken()) {
--- a/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
+++ b/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
@@ -22,12 +22,6 @@
  * has waited for {@link #TOKEN_RAISE_DELAY_MS} or {@link #TOKEN_RAISE_EXIT_COUNT} exits are listed.
  */
 public final class HeartbeatReconciler {
-  /**
-   * A machine is deleted when a direct command may still start an attempt this long after its stop
-   * was requested.
-   */
-  private static final long DELETE_TO_FENCE_AFTER_MS = 8_000;
-
   /** Maximum wait of an exit for a higher token. Each raise costs the worker an extra heartbeat. */
   static final long TOKEN_RAISE_DELAY_MS = 10_000;
 
@@ -39,18 +33,21 @@
   private final JobRegistry jobs;
   private final FleetHealth health;
   private final ImageDistribution imageDistribution;
+  private final WorkerCommandFactory commandFactory;
 
   HeartbeatReconciler(
       TermTiming timing,
       AttemptTracker attempts,
       JobRegistry jobs,
       FleetHealth health,
-      ImageDistribution imageDistribution) {
+      ImageDistribution imageDistribution,
+      WorkerCommandFactory commandFactory) {
     this.timing = timing;
     this.attempts = attempts;
     this.jobs = jobs;
     this.health = health;
     this.imageDistribution = imageDistribution;
+    this.commandFactory = commandFactory;
   }
 
   /** How a heartbeat reached the leader. */
@@ -342,7 +339,7 @@
     }
     if (attempt.isStopping()
         && (attempt.phase != Attempt.Phase.FLUSHING || attempt.stopGraceS == 0)) {
-      commands.add(stopCommand(attempt));
+      commands.add(commandFactory.stop(attempt));
     }
   }
 
@@ -392,7 +389,7 @@
         // On an interrupted machine the attempt is stopped next and has never been launched.
         if (mayLaunch && !machine.isInterrupted()) {
           attempt.launchMessages.recordResponse(heartbeat.sequence());
-          commands.add(launchCommand(attempt));
+          commands.add(commandFactory.launch(attempt));
         }
       } else if (attempt.phase != Attempt.Phase.RECORDING
           && provesUnlistedGone(attempt, heartbeat)) {
@@ -413,106 +410,7 @@
         && !attempt.launchMessages.mayArriveInCommand(heartbeat.fencingToken());
   }
 
-  /**
-   * Launch command for an attempt, with image sources if its worker can fetch from other workers.
-   */
-  public WorkerCommand launchCommand(Attempt attempt) {
-    List<String> imageSources =
-        attempt.machine.servesImages ? imageDistribution.imageSources(attempt) : List.of();
-    return new WorkerCommand(
-        WorkerCommand.Kind.LAUNCH,
-        attempt.job.spec.id(),
-        attempt.task,
-        attempt.number,
-        0,
-        imageSources);
-  }
-
-  private static WorkerCommand stopCommand(Attempt attempt) {
-    return new WorkerCommand(
-        WorkerCommand.Kind.STOP,
-        attempt.job.spec.id(),
-        attempt.task,
-        attempt.number,
-        attempt.stopGraceS);
-  }
-
   private static WorkerCommand command(WorkerCommand.Kind kind, Heartbeat.Entry entry) {
     return new WorkerCommand(kind, entry.job(), entry.task(), entry.attempt(), 0);
   }
-
-  /**
-   * Returns the commands to send directly to the worker now: launches and stops that were not sent
-   * yet. Their launches may arrive at any later time, see {@link LaunchMessages}.
-   */
-  public List<WorkerCommand> takeDirectCommands(Machine machine, boolean mayLaunch, long now) {
-    List<WorkerCommand> commands = new ArrayList<>();
-    if (!canSendDirectCommands(machine, now)) {
-      return commands;
-    }
-    boolean canLaunch = mayLaunch && machine.fencingToken < FencingTokens.last(timing.term());
-    for (Attempt attempt : machine.attempts) {
-      if (attempt.incarnation != machine.incarnation) {
-        continue;
-      }
-      if (canLaunch
-          && attempt.phase == Attempt.Phase.READY
-          && !attempt.launchMessages.isSent()
-          && !attempt.isStopping()) {
-        attempt.launchMessages.recordCommand(machine.fencingToken);
-        machine.unfencedLaunches.put(attempt.key(), machine.fencingToken);
-        commands.add(launchCommand(attempt));
-      } else if (attempt.isStopping()
-          && !attempt.stopSentDirectly
-          && (attempt.phase == Attempt.Phase.PULLING || attempt.phase == Attempt.Phase.RUNNING)) {
-        attempt.stopSentDirectly = true;
-        commands.add(stopCommand(attempt));
-      }
-    }
-    return commands;
-  }
-
-  /**
-   * True when the worker has seen this term's token, its heartbeat is not overdue and responses
-   * reach it. For other workers, the risk of a launch that stays in flight outweighs the faster
-   * start.
-   */
-  private boolean canSendDirectCommands(Machine machine, long now) {
-    return machine.isUsable()
-        && machine.highestTokenSeen >= timing.term()
-        && now - machine.lastHeartbeatMs <= timing.heartbeatOverdueMs()
-        && !machine.health.outboundReachability().isBroken();
-  }
-
-  /**
-   * Records that direct commands certainly never left this process, so that their launches cannot
-   * arrive. Any other outcome, an answer included, leaves them as they are: a duplicate may arrive
-   * later.
-   */
-  public void directCommandsNotSent(Machine machine, List<WorkerCommand> commands) {
-    for (WorkerCommand command : commands) {
-      String key = Attempt.key(command.job(), command.task(), command.attempt());
-      for (Attempt attempt : machine.attempts) {
-        if (attempt.key().equals(key)) {
-          attempt.launchMessages.recordCommandNotSent();
-        }
-      }
-    }
-  }
-
-  /**
-   * True when a direct command may still start an attempt whose stop was requested, and raising the
-   * fencing token did not prevent this in time. The machine must then be deleted.
-   */
-  public boolean needsDeletionToFence(Machine machine, long now) {
-    for (Attempt attempt : machine.attempts) {
-      if (attempt.isStopping()
-          && attempt.phase == Attempt.Phase.READY
-          && attempt.launchMessages.mayArriveInCommand(machine.highestTokenSeen)
-          && now - attempt.stopRequestedMs > DELETE_TO_FENCE_AFTER_MS) {
-        return true;
-      }
-    }
-    return false;
-  }
 }
--- a/src/main/java/org/mallowroad/core/SchedulerState.java
+++ b/src/main/java/org/mallowroad/core/SchedulerState.java
@@ -22,7 +22,8 @@
  *       gone;
  *   <li>{@link JobRegistry} and {@link MachineRegistry} hold jobs and machines;
  *   <li>{@link PendingWrites} tracks the attempt records to be written;
- *   <li>{@link HeartbeatReconciler} turns worker heartbeats into proofs and commands.
+ *   <li>{@link HeartbeatReconciler} turns worker heartbeats into proofs and commands; {@link
+ *       DirectCommandPlanner} decides which commands are sent without waiting for a heartbeat.
  * </ul>
  *
  * <p>The class performs no I/O and reads no clock: callers pass the time as milliseconds on the
@@ -38,7 +39,9 @@
   private final MachineRegistry machines;
   private final StartAdmission admission;
   private final AttemptTracker attempts;
+  private final WorkerCommandFactory commandFactory;
   private final HeartbeatReconciler heartbeatReconciler;
+  private final DirectCommandPlanner directCommandPlanner;
   private final ImageDistribution imageDistribution;
   private final SharedAttemptRecords sharedAttemptRecords;
   private final GangReservations gangReservations = new GangReservations(this);
@@ -94,8 +97,10 @@
     this.attempts =
         new AttemptTracker(
             timing, admission, jobs, pendingWrites, health, imageDistribution, costAccounting);
+    this.commandFactory = new WorkerCommandFactory(imageDistribution);
     this.heartbeatReconciler =
-        new HeartbeatReconciler(timing, attempts, jobs, health, imageDistribution);
+        new HeartbeatReconciler(timing, attempts, jobs, health, imageDistribution, commandFactory);
+    this.directCommandPlanner = new DirectCommandPlanner(timing, commandFactory);
   }
 
   /** Open jobs and jobs with attempts that are not proven gone, in order of acceptance. */
@@ -417,11 +422,21 @@
     heartbeatReconciler.reconcileCommandResponse(machine, heartbeat, now);
   }
 
-  /** The component that processes heartbeats and creates worker commands. */
+  /** The component that processes heartbeats. */
   public HeartbeatReconciler heartbeatReconciler() {
     return heartbeatReconciler;
   }
 
+  /** The component that decides which commands are sent directly to workers. */
+  public DirectCommandPlanner directCommandPlanner() {
+    return directCommandPlanner;
+  }
+
+  /** The component that creates launch and stop commands. */
+  public WorkerCommandFactory commandFactory() {
+    return commandFactory;
+  }
+
   /** Removes a machine that is proven deleted, and resolves its attempts. */
   public void machineDeleted(Machine machine, long now) {
     attempts.resolveAll(machine, now);
--- a/src/test/java/org/mallowroad/core/HeartbeatReconcilerTest.java
+++ b/src/test/java/org/mallowroad/core/HeartbeatReconcilerTest.java
@@ -29,28 +29,28 @@
                   List.of(),
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(staleWorker, true, cluster.now));
+                      .directCommandPlanner()
+                      .takeCommands(staleWorker, true, cluster.now));
               Machine machine = cluster.machine("n-1", 0);
               cluster.startCommitted(cluster.job("job-2", 1, 1), 0, machine);
               assertEquals(
                   List.of(),
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(machine, false, cluster.now));
+                      .directCommandPlanner()
+                      .takeCommands(machine, false, cluster.now));
               assertEquals(
                   List.of(new WorkerCommand(WorkerCommand.Kind.LAUNCH, "job-2", 0, 1, 0)),
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(machine, true, cluster.now));
+                      .directCommandPlanner()
+                      .takeCommands(machine, true, cluster.now));
               assertEquals(
                   List.of(),
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(machine, true, cluster.now));
+                      .directCommandPlanner()
+                      .takeCommands(machine, true, cluster.now));
             }),
         SchedulerFixture.testCase(
             "an exit is not cleared while a launch of the attempt may still arrive",
@@ -60,8 +60,8 @@
               Attempt attempt = cluster.startCommitted(job, 0, machine);
               cluster
                   .schedulerState
-                  .heartbeatReconciler()
-                  .takeDirectCommands(machine, true, cluster.now);
+                  .directCommandPlanner()
+                  .takeCommands(machine, true, cluster.now);
               Heartbeat.Entry exit =
                   SchedulerFixture.entry(attempt, Heartbeat.State.EXITED, "done");
               cluster.heartbeat(machine, 1, SchedulerFixture.TERM, exit);
@@ -92,8 +92,8 @@
               }
               cluster
                   .schedulerState
-                  .heartbeatReconciler()
-                  .takeDirectCommands(machine, true, cluster.now);
+                  .directCommandPlanner()
+                  .takeCommands(machine, true, cluster.now);
               cluster.heartbeat(machine, 1, SchedulerFixture.TERM, exits);
               cluster.commit();
               assertEquals(List.of(), cluster.heartbeat(machine, 1, SchedulerFixture.TERM, exits));
@@ -122,8 +122,8 @@
               cluster.startCommitted(job, 0, machine);
               cluster
                   .schedulerState
-                  .heartbeatReconciler()
-                  .takeDirectCommands(machine, true, cluster.now);
+                  .directCommandPlanner()
+                  .takeCommands(machine, true, cluster.now);
               cluster.schedulerState.cancel(job, cluster.now);
               cluster.heartbeat(machine, 1, SchedulerFixture.TERM);
               assertEquals(SchedulerFixture.TERM + 1, machine.fencingToken);
@@ -141,8 +141,8 @@
                   List.of(),
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(machine, true, cluster.now));
+                      .directCommandPlanner()
+                      .takeCommands(machine, true, cluster.now));
               assertEquals(1, cluster.heartbeat(machine, 1, SchedulerFixture.TERM).size());
             }),
         SchedulerFixture.testCase(
@@ -153,8 +153,8 @@
               Attempt attempt = cluster.startCommitted(job, 0, machine);
               cluster
                   .schedulerState
-                  .heartbeatReconciler()
-                  .takeDirectCommands(machine, true, cluster.now);
+                  .directCommandPlanner()
+                  .takeCommands(machine, true, cluster.now);
               cluster.schedulerState.cancel(job, cluster.now);
               cluster.heartbeat(machine, 1, SchedulerFixture.TERM);
               cluster.heartbeat(machine, 1, SchedulerFixture.TERM);
@@ -162,13 +162,13 @@
               assertFalse(
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
+                      .directCommandPlanner()
                       .needsDeletionToFence(machine, cluster.now));
               cluster.now += 9_000;
               assertTrue(
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
+                      .directCommandPlanner()
                       .needsDeletionToFence(machine, cluster.now));
               cluster.schedulerState.machineDeleted(machine, cluster.now);
               assertTrue(job.isFinished());
@@ -181,8 +181,8 @@
               Attempt attempt = cluster.startCommitted(job, 0, machine);
               cluster
                   .schedulerState
-                  .heartbeatReconciler()
-                  .takeDirectCommands(machine, true, cluster.now);
+                  .directCommandPlanner()
+                  .takeCommands(machine, true, cluster.now);
               cluster.heartbeat(machine, 2, SchedulerFixture.TERM);
               assertEquals(Attempt.Phase.GONE, attempt.phase);
               assertTrue(machine.unfencedLaunches.isEmpty());
@@ -195,8 +195,8 @@
               List<WorkerCommand> sent =
                   cluster
                       .schedulerState
-                      .heartbeatReconciler()
-                      .takeDirectCommands(machine, true, cluster.now);
+                      .directCommandPlanner()
+                      .takeCommands(machine, true, cluster.now);
               cluster.commandResponse(machine, 1, SchedulerFixture.TERM);
               assertEquals(sent, cluster.heartbeat(machine, 1, SchedulerFixture.TERM));
             }));
--- a/src/test/java/org/mallowroad/core/LaunchDeliveryTest.java
+++ b/src/test/java/org/mallowroad/core/LaunchDeliveryTest.java
@@ -63,10 +63,7 @@
       return new WorkerStandIn.DirectCommand(
           machine.fencingToken,
           machine.incarnation,
-          cluster
-              .schedulerState
-              .heartbeatReconciler()
-              .takeDirectCommands(machine, true, cluster.now));
+          cluster.schedulerState.directCommandPlanner().takeCommands(machine, true, cluster.now));
     }
 
     /** The leader receives the worker's answer to a direct command. */
--- a/src/test/java/org/mallowroad/peer/RelayTransportTest.java
+++ b/src/test/java/org/mallowroad/peer/RelayTransportTest.java
@@ -15,10 +15,9 @@
 import org.mallowroad.core.linkstate.LinkPolicy;
 import org.mallowroad.core.linkstate.LinkStateAdvertisement;
 import org.mallowroad.core.linkstate.LinkStateTable;
-import org.mallowroad.net.EventLoop;
 import org.mallowroad.net.IncomingRequest;
-import org.mallowroad.net.NodeEnvironment;
 import org.mallowroad.net.RequestSender;
+import org.mallowroad.net.StubEnvironment;
 import org.mallowroad.wire.InvalidMessageException;
 
 /**
@@ -30,73 +29,6 @@
   private final List<String> outcomes = new ArrayList<>();
   private int peerStatus;
 
-  private final EventLoop loop =
-      new EventLoop() {
-        @Override
-        public long nanoTime() {
-          return 0;
-        }
-
-        @Override
-        public long wallMs() {
-          return 0;
-        }
-
-        @Override
-        protected void execute(Runnable task) {
-          task.run();
-        }
-
-        @Override
-        protected Timer schedule(long delayMs, Runnable task) {
-          return () -> true;
-        }
-      };
-
-  /** An environment in which every peer answers with {@code peerStatus}. */
-  private final class RespondingEnvironment implements NodeEnvironment {
-    @Override
-    public EventLoop loop() {
-      return loop;
-    }
-
-    @Override
-    public RequestSender requestSender(
-        Endpoint endpoint, String contentType, int maxConnections, int maxResponseBytes) {
-      return new RequestSender() {
-        @Override
-        public void send(
-            String method, String path, byte[] body, long timeoutMs, ResponseHandler handler) {
-          handler.onResponse(peerStatus, new byte[0]);
-        }
-
-        @Override
-        public void close() {}
-      };
-    }
-
-    @Override
-    public void listen(RequestHandler handler) {}
-
-    @Override
-    public long bufferedBodyBytes() {
-      return 0;
-    }
-
-    @Override
-    public String boundAddress(int listener) {
-      return "";
-    }
-
-    @Override
-    public Thread loopThread() {
-      return Thread.currentThread();
-    }
-
-    @Override
-    public void stop() {}
-  }
-
   private final RequestSender.ResponseHandler responseHandler =
       new RequestSender.ResponseHandler() {
         @Override
@@ -141,7 +73,7 @@
 
   private final RelayTransport transport =
       new RelayTransport(
-          new RespondingEnvironment(),
+          new StubEnvironment(handler -> handler.onResponse(peerStatus, new byte[0])),
           List.of(new Member("n1", "a", new Endpoint("h", 1))),
           new LinkStateTable(LinkPolicy.defaults(), "n0", List.of("n1"), List.of("a"), 0, 0),
           listener);
