--- a/src/main/java/org/mallowroad/controller/DirectCommandSender.java
+++ b/src/main/java/org/mallowroad/controller/DirectCommandSender.java
@@ -8,12 +8,16 @@
 import org.mallowroad.core.SchedulerState;
 import org.mallowroad.core.WorkerCommand;
 import org.mallowroad.worker.WorkerClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sends commands directly to workers instead of waiting for their next heartbeat, with at most one
  * message in flight per worker. Runs on the event loop only.
  */
 final class DirectCommandSender {
+  private static final Logger LOG = LoggerFactory.getLogger(DirectCommandSender.class);
+
   private final LeaderContext context;
   private final SchedulerState schedulerState;
   private final WorkerClient workers;
@@ -65,6 +69,16 @@
   }
 
   private void send(Machine machine, List<WorkerCommand> commands) {
+    LOG.debug(
+        "event=commands_sent machine={} session={} token={} commands={} heartbeat_source={}"
+            + " heartbeat_age_ms={} lease_age_ms={}",
+        machine.name,
+        machine.incarnation,
+        machine.fencingToken,
+        commands.size(),
+        machine.lastHeartbeatSource().label(),
+        context.loop().now() - machine.lastHeartbeatMs,
+        context.loop().now() - context.lease().renewedMs());
     context.loadStatistics().recordDirectCommands();
     workers.send(
         machine.address,
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -59,6 +59,7 @@
   private final HeartbeatHandler heartbeats;
   private final DirectCommandSender directCommands;
   private final LeaderMonitor monitor;
+  private final AuditLogger auditLogger;
   private final List<EventLoop.Timer> timers = new ArrayList<>();
 
   /** Receives the events of a term that the node has to act on. */
@@ -106,6 +107,7 @@
     this.directCommands =
         new DirectCommandSender(context, heartbeats::hasPendingReply, placement::requestPass);
     this.monitor = new LeaderMonitor(context, committer, listener::onOverloaded);
+    this.auditLogger = new AuditLogger(context, stateLoader::newestRead);
   }
 
   private FailureResponder newFailureResponder() {
@@ -319,13 +321,7 @@
         request ->
             provisioner.restoreRental(
                 request.key().substring(RecordKeys.RENTALS_PREFIX.length()), request.value()));
-    LOG.info(
-        "event=takeover term={} jobs={} records={} rent_requests={} ms={}",
-        term.number(),
-        schedulerState.jobs().size(),
-        recordCount,
-        rentRequests.size(),
-        loop.now() - context.startedMs());
+    auditLogger.logTakeover(recordCount, rentRequests.size(), loop.now());
     heartbeats.onRecovered();
     context.loadStatistics().startTicks(loop.now());
     timers.add(loop.every(TICK_INTERVAL_MS, this::tick));
@@ -357,6 +353,7 @@
     }
     monitor.checkCancellationView(now);
     schedulerState.expireLeases(now);
+    auditLogger.tick(now);
     if (isLeaseValid()) {
       context.taskScheduler().drainInterruptedMachines(now);
     }
--- a/src/main/java/org/mallowroad/controller/NodeMetrics.java
+++ b/src/main/java/org/mallowroad/controller/NodeMetrics.java
@@ -1,9 +1,14 @@
 package org.mallowroad.controller;
 
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.function.ToDoubleFunction;
+import org.mallowroad.core.AttemptAudit;
+import org.mallowroad.core.HeartbeatSource;
+import org.mallowroad.core.ResolutionProof;
+import org.mallowroad.core.TokenRaiseReason;
 import org.mallowroad.core.health.FleetHealth;
 import org.mallowroad.core.linkstate.ExternalService;
 
@@ -27,6 +32,7 @@
       registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
       registerLeadership();
       registerHealth();
+      registerAttemptAudit();
       registerOverload();
       if (node.links != null) {
         registerLinks(node.links);
@@ -75,6 +81,27 @@
         m -> m.fleetHealthValue(h -> h.pauseDetector().longestPauseMs()));
   }
 
+  private void registerAttemptAudit() {
+    for (ResolutionProof proof : ResolutionProof.values()) {
+      registerGauge(
+          "mallowroad.attempts.resolved",
+          Tags.of("proof", proof.label()),
+          m -> m.attemptAuditValue(audit -> audit.resolutions(proof)));
+    }
+    for (HeartbeatSource evidence : HeartbeatSource.values()) {
+      registerGauge(
+          "mallowroad.attempts.started",
+          Tags.of("evidence", evidence.label()),
+          m -> m.attemptAuditValue(audit -> audit.starts(evidence)));
+    }
+    for (TokenRaiseReason reason : TokenRaiseReason.values()) {
+      registerGauge(
+          "mallowroad.tokens.raised",
+          Tags.of("reason", reason.label()),
+          m -> m.attemptAuditValue(audit -> audit.tokenRaises(reason)));
+    }
+  }
+
   private void registerOverload() {
     registerGauge("mallowroad.loop.lag.ms", m -> m.leaderValue(Leader::worstLoopLagMs));
     registerGauge(
@@ -134,7 +161,15 @@
     return leaderValue(l -> value.applyAsDouble(l.schedulerState().health()));
   }
 
+  private double attemptAuditValue(ToDoubleFunction<AttemptAudit> value) {
+    return leaderValue(l -> value.applyAsDouble(l.schedulerState().attemptAudit()));
+  }
+
   private void registerGauge(String name, ToDoubleFunction<NodeMetrics> value) {
-    Gauge.builder(name, this, value).register(registry);
+    registerGauge(name, Tags.empty(), value);
+  }
+
+  private void registerGauge(String name, Tags tags, ToDoubleFunction<NodeMetrics> value) {
+    Gauge.builder(name, this, value).tags(tags).register(registry);
   }
 }
--- a/src/main/java/org/mallowroad/controller/persistence/OpenJobWatcher.java
+++ b/src/main/java/org/mallowroad/controller/persistence/OpenJobWatcher.java
@@ -38,6 +38,7 @@
   private final WriteBehindCommitter committer;
   private final CancellationView cancellationView;
   private final StateLoader.Listener listener;
+  private RevisionRead newestRead = RevisionRead.NONE;
   private boolean isStopped;
 
   OpenJobWatcher(
@@ -57,6 +58,16 @@
     this.listener = listener;
   }
 
+  /** The newest revision up to which the open jobs were read. */
+  RevisionRead newestRead() {
+    return newestRead;
+  }
+
+  /** Records that the open jobs were read up to a revision by a request sent at {@code sentMs}. */
+  void recordRead(long revision, long sentMs) {
+    newestRead = new RevisionRead(revision, sentMs);
+  }
+
   /** Stops watching; later responses are ignored. */
   void stop() {
     isStopped = true;
@@ -88,6 +99,7 @@
             loop.after(LIST_DELAY_MS, this::listOpenJobs);
             return;
           }
+          recordRead(revision, sentMs);
           applyEvents(events, sentMs);
           watch(revision);
         });
@@ -143,6 +155,7 @@
             loop.after(LIST_RETRY_MS, this::listOpenJobs);
             return;
           }
+          recordRead(revision, sentMs);
           reconcile(openRecords, sentMs);
           watch(revision);
         });
--- a/src/main/java/org/mallowroad/controller/persistence/StateLoader.java
+++ b/src/main/java/org/mallowroad/controller/persistence/StateLoader.java
@@ -99,6 +99,11 @@
     watcher.stop();
   }
 
+  /** The newest revision up to which the open jobs were read. */
+  public RevisionRead newestRead() {
+    return watcher.newestRead();
+  }
+
   /** Loads all records, and retries until every list has been read successfully. */
   public void load() {
     if (isStopped) {
@@ -221,6 +226,7 @@
       }
       // The reading covers ended jobs as well, because readJobEnds has read how each of them ended.
       cancellationView.beginRead(sentMs).markApplied();
+      watcher.recordRead(openJobsRevision, sentMs);
       listener.loaded(attempts.size() + sharedAttempts.size(), rentals);
       watcher.watch(openJobsRevision);
     }
--- a/src/main/java/org/mallowroad/core/AttemptTracker.java
+++ b/src/main/java/org/mallowroad/core/AttemptTracker.java
@@ -48,6 +48,7 @@
   private final FleetHealth health;
   private final ImageDistribution imageDistribution;
   private final CostAccounting costAccounting;
+  private final AttemptAudit audit;
 
   /** Machines that may have a launch or stop command that no message has carried yet. */
   private final ObjectLinkedOpenHashSet<Machine> machinesWithUnsentCommands =
@@ -63,7 +64,8 @@
       PendingWrites pendingWrites,
       FleetHealth health,
       ImageDistribution imageDistribution,
-      CostAccounting costAccounting) {
+      CostAccounting costAccounting,
+      AttemptAudit audit) {
     this.timing = timing;
     this.admission = admission;
     this.jobs = jobs;
@@ -71,6 +73,7 @@
     this.health = health;
     this.imageDistribution = imageDistribution;
     this.costAccounting = costAccounting;
+    this.audit = audit;
   }
 
   /** Machines that may have commands to send directly; the caller removes those it has handled. */
@@ -104,6 +107,7 @@
     job.highestAttemptNumbers[task] = number;
     job.lastStartMs = now;
     attemptsStarted++;
+    audit.recordStart(machine.lastHeartbeatSource);
     allocateResources(attempt);
     imageDistribution.recordPlaced(
         attempt,
@@ -185,7 +189,7 @@
         continue;
       }
       if (attempt.phase == Attempt.Phase.RECORDING) {
-        resolve(attempt, AttemptOutcome.LOST, now);
+        resolve(attempt, AttemptOutcome.LOST, ResolutionProof.NEVER_COMMITTED, now);
       } else {
         requestStop(attempt, 0, now);
       }
@@ -196,15 +200,15 @@
   void withdrawUncommitted(Job job, long now) {
     for (Attempt attempt : job.liveAttempts) {
       if (attempt != null && attempt.phase == Attempt.Phase.RECORDING) {
-        resolve(attempt, AttemptOutcome.LOST, now);
+        resolve(attempt, AttemptOutcome.LOST, ResolutionProof.NEVER_COMMITTED, now);
       }
     }
   }
 
   /** Resolves all attempts on a machine that the cloud has deleted or reported as failed. */
-  void resolveAll(Machine machine, long now) {
+  void resolveAll(Machine machine, ResolutionProof proof, long now) {
     for (Attempt attempt : new ArrayList<>(machine.attempts)) {
-      resolve(attempt, AttemptOutcome.LOST, now);
+      resolve(attempt, AttemptOutcome.LOST, proof, now);
     }
   }
 
@@ -219,7 +223,7 @@
     }
     for (Attempt attempt : new ArrayList<>(machine.attempts)) {
       if (attempt.phase != Attempt.Phase.RECORDING) {
-        resolve(attempt, AttemptOutcome.LOST, now);
+        resolve(attempt, AttemptOutcome.LOST, ResolutionProof.LEASE_EXPIRED, now);
       }
     }
   }
@@ -237,10 +241,11 @@
   }
 
   /** Releases the quota and resources of an attempt that is proven gone. Idempotent. */
-  void resolve(Attempt attempt, AttemptOutcome outcome, long now) {
+  void resolve(Attempt attempt, AttemptOutcome outcome, ResolutionProof proof, long now) {
     if (attempt.phase == Attempt.Phase.GONE) {
       return;
     }
+    audit.recordResolution(attempt, proof, now);
     releaseResources(attempt, outcome, now);
     if (outcome == AttemptOutcome.COMPLETED && !attempt.job.spec.service()) {
       completeTask(attempt, now);
--- a/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
+++ b/src/main/java/org/mallowroad/core/HeartbeatReconciler.java
@@ -34,6 +34,7 @@
   private final FleetHealth health;
   private final ImageDistribution imageDistribution;
   private final WorkerCommandFactory commandFactory;
+  private final AttemptAudit audit;
 
   HeartbeatReconciler(
       TermTiming timing,
@@ -41,21 +42,15 @@
       JobRegistry jobs,
       FleetHealth health,
       ImageDistribution imageDistribution,
-      WorkerCommandFactory commandFactory) {
+      WorkerCommandFactory commandFactory,
+      AttemptAudit audit) {
     this.timing = timing;
     this.attempts = attempts;
     this.jobs = jobs;
     this.health = health;
     this.imageDistribution = imageDistribution;
     this.commandFactory = commandFactory;
-  }
-
-  /** How a heartbeat reached the leader. */
-  private enum Source {
-    /** The worker sent it by itself and waits for the response. */
-    REPORT,
-    /** It is the worker's answer to direct commands; no response is sent to it. */
-    COMMAND_RESPONSE
+    this.audit = audit;
   }
 
   /**
@@ -70,18 +65,18 @@
       applyOutdatedReport(machine, heartbeat);
       return null;
     }
-    return apply(machine, heartbeat, Source.REPORT, mayLaunch, now);
+    return apply(machine, heartbeat, HeartbeatSource.REPORT, mayLaunch, now);
   }
 
   /** Applies the heartbeat in a worker's answer to direct commands, unless it is outdated. */
   void reconcileCommandResponse(Machine machine, Heartbeat heartbeat, long now) {
     if (!isOutdated(machine, heartbeat)) {
-      apply(machine, heartbeat, Source.COMMAND_RESPONSE, false, now);
+      apply(machine, heartbeat, HeartbeatSource.COMMAND_RESPONSE, false, now);
     }
   }
 
   private List<WorkerCommand> apply(
-      Machine machine, Heartbeat heartbeat, Source source, boolean mayLaunch, long now) {
+      Machine machine, Heartbeat heartbeat, HeartbeatSource source, boolean mayLaunch, long now) {
     recordDeliveryEvidence(machine, heartbeat, mayLaunch, now);
     applySession(machine, heartbeat, source, now);
     applyMachineStatus(machine, heartbeat, now);
@@ -117,7 +112,7 @@
       machine.reportSequence = Math.max(machine.reportSequence, heartbeat.sequence());
     }
     if (mayHaveForgottenLaunches(machine, heartbeat)) {
-      raiseFencingToken(machine);
+      raiseFencingToken(machine, TokenRaiseReason.RESTARTED_WORKER);
     }
   }
 
@@ -158,7 +153,8 @@
   }
 
   /** Applies the worker's incarnation and token, and resolves the attempts they prove gone. */
-  private void applySession(Machine machine, Heartbeat heartbeat, Source source, long now) {
+  private void applySession(
+      Machine machine, Heartbeat heartbeat, HeartbeatSource source, long now) {
     if (heartbeat.incarnation() > machine.incarnation) {
       machine.reportSequence = 0;
       imageDistribution.removeMachine(machine); // The new session's image cache may be empty.
@@ -172,12 +168,13 @@
     // (docs/incidents, stuck-of-an-earlier-session).
     for (Attempt attempt : new ArrayList<>(machine.attempts)) {
       if (attempt.incarnation < heartbeat.incarnation()) {
-        attempts.resolve(attempt, AttemptOutcome.LOST, now);
+        attempts.resolve(attempt, AttemptOutcome.LOST, ResolutionProof.NEW_SESSION, now);
       }
     }
     machine.incarnation = heartbeat.incarnation();
     machine.sequence = heartbeat.sequence();
-    if (source == Source.REPORT) {
+    machine.lastHeartbeatSource = source;
+    if (source == HeartbeatSource.REPORT) {
       machine.reportSequence = heartbeat.sequence();
     }
     machine.highestTokenSeen = Math.max(machine.highestTokenSeen, heartbeat.fencingToken());
@@ -212,27 +209,39 @@
   /** Raises the worker's token when waiting exits, a launch in transit or a probe require it. */
   private void raiseFencingTokenIfNeeded(
       Machine machine, Heartbeat heartbeat, ObjectOpenHashSet<Attempt> listedAttempts, long now) {
-    boolean raiseNeeded =
-        exitsNeedHigherToken(machine, heartbeat, now)
-            || mayHaveForgottenLaunches(machine, heartbeat);
+    // Evaluated first, since a token that is raised for another reason serves as the probe.
+    boolean isProbeDue = machine.health.outboundReachability().startProbeIfDue(now);
+    if (exitsNeedHigherToken(machine, heartbeat, now)) {
+      raiseFencingToken(machine, TokenRaiseReason.EXITS_TO_CLEAR);
+    } else if (mayHaveForgottenLaunches(machine, heartbeat)) {
+      raiseFencingToken(machine, TokenRaiseReason.RESTARTED_WORKER);
+    } else if (hasUnlistedLaunchToFence(machine, listedAttempts)) {
+      raiseFencingToken(machine, TokenRaiseReason.UNLISTED_LAUNCH);
+    } else if (isProbeDue) {
+      raiseFencingToken(machine, TokenRaiseReason.REACHABILITY_PROBE);
+    }
+  }
+
+  /** True when a direct launch may still start an attempt that must not start any more. */
+  private static boolean hasUnlistedLaunchToFence(
+      Machine machine, ObjectOpenHashSet<Attempt> listedAttempts) {
     for (Attempt attempt : machine.attempts) {
       // An unlisted attempt that was listed before is one that the worker forgot in a restart.
-      raiseNeeded |=
-          attempt.launchMessages.mayArriveInCommand(machine.fencingToken)
-              && (attempt.isStopping() || attempt.phase != Attempt.Phase.READY)
-              && !listedAttempts.contains(attempt);
-    }
-    raiseNeeded |= machine.health.outboundReachability().startProbeIfDue(now);
-    if (raiseNeeded) {
-      raiseFencingToken(machine);
+      if (attempt.launchMessages.mayArriveInCommand(machine.fencingToken)
+          && (attempt.isStopping() || attempt.phase != Attempt.Phase.READY)
+          && !listedAttempts.contains(attempt)) {
+        return true;
+      }
     }
+    return false;
   }
 
-  private void raiseFencingToken(Machine machine) {
+  private void raiseFencingToken(Machine machine, TokenRaiseReason reason) {
     // At the block's last token there is no higher one, so launches go in responses only.
     if (machine.fencingToken < FencingTokens.last(timing.term())) {
       machine.fencingToken++;
       machine.exitsAwaitingTokenSinceMs = -1;
+      audit.recordTokenRaise(reason);
     }
   }
 
@@ -333,7 +342,7 @@
       case RUNNING -> applyRunning(attempt, Attempt.Phase.RUNNING, now);
       case FLUSHING -> applyRunning(attempt, Attempt.Phase.FLUSHING, now);
       case EXITED -> {
-        attempts.resolve(attempt, outcome(entry.exitReason()), now);
+        attempts.resolve(attempt, outcome(entry.exitReason()), ResolutionProof.WORKER_REPORT, now);
         return;
       }
     }
@@ -393,7 +402,7 @@
         }
       } else if (attempt.phase != Attempt.Phase.RECORDING
           && provesUnlistedGone(attempt, heartbeat)) {
-        attempts.resolve(attempt, AttemptOutcome.LOST, now);
+        attempts.resolve(attempt, AttemptOutcome.LOST, ResolutionProof.UNLISTED, now);
       }
     }
     return launchUnacknowledged;
--- a/src/main/java/org/mallowroad/core/Machine.java
+++ b/src/main/java/org/mallowroad/core/Machine.java
@@ -57,6 +57,9 @@
   /** Time of the latest heartbeat that this leader received, or -1. */
   public long lastHeartbeatMs = -1;
 
+  /** How the latest heartbeat reached this leader. */
+  HeartbeatSource lastHeartbeatSource = HeartbeatSource.REPORT;
+
   /** Time of this leader's latest response, which may have renewed the worker's lease, or -1. */
   public long lastResponseMs = -1;
 
@@ -129,6 +132,11 @@
     return lastHeartbeatMs >= 0 && !draining && !deleting && !failed;
   }
 
+  /** How the latest heartbeat reached this leader. */
+  public HeartbeatSource lastHeartbeatSource() {
+    return lastHeartbeatSource;
+  }
+
   /** True once the cloud has announced to reclaim the spot machine: no task is launched here. */
   public boolean isInterrupted() {
     return interruptionMs != 0;
--- a/src/main/java/org/mallowroad/core/SchedulerState.java
+++ b/src/main/java/org/mallowroad/core/SchedulerState.java
@@ -34,6 +34,7 @@
   private final NameIndex zones;
   private final FleetHealth health;
   private final CostAccounting costAccounting = new CostAccounting();
+  private final AttemptAudit attemptAudit = new AttemptAudit();
   private final PendingWrites pendingWrites = new PendingWrites();
   private final JobRegistry jobs;
   private final MachineRegistry machines;
@@ -96,10 +97,18 @@
     this.admission = new StartAdmission(teams, timing.heartbeatOverdueMs());
     this.attempts =
         new AttemptTracker(
-            timing, admission, jobs, pendingWrites, health, imageDistribution, costAccounting);
+            timing,
+            admission,
+            jobs,
+            pendingWrites,
+            health,
+            imageDistribution,
+            costAccounting,
+            attemptAudit);
     this.commandFactory = new WorkerCommandFactory(imageDistribution);
     this.heartbeatReconciler =
-        new HeartbeatReconciler(timing, attempts, jobs, health, imageDistribution, commandFactory);
+        new HeartbeatReconciler(
+            timing, attempts, jobs, health, imageDistribution, commandFactory, attemptAudit);
     this.directCommandPlanner = new DirectCommandPlanner(timing, commandFactory);
   }
 
@@ -229,6 +238,11 @@
     return costAccounting;
   }
 
+  /** What allowed the starts and proved the ends of this term's attempts. */
+  public AttemptAudit attemptAudit() {
+    return attemptAudit;
+  }
+
   /** Number of attempts created in this term. */
   public long attemptsStarted() {
     return attempts.attemptsStarted();
@@ -401,9 +415,9 @@
     attempts.markCommitted(writtenAttempts);
   }
 
-  /** Releases the quota and resources of an attempt that is proven gone. Idempotent. */
+  /** Releases the quota and resources of an attempt whose exit was reported. Idempotent. */
   public void resolve(Attempt attempt, AttemptOutcome outcome, long now) {
-    attempts.resolve(attempt, outcome, now);
+    attempts.resolve(attempt, outcome, ResolutionProof.WORKER_REPORT, now);
   }
 
   /**
@@ -439,7 +453,7 @@
 
   /** Removes a machine that is proven deleted, and resolves its attempts. */
   public void machineDeleted(Machine machine, long now) {
-    attempts.resolveAll(machine, now);
+    attempts.resolveAll(machine, ResolutionProof.MACHINE_DELETED, now);
     machines.delete(machine);
     gangReservations.removeMachine(machine);
     imageDistribution.removeMachine(machine);
@@ -454,7 +468,7 @@
    */
   public void machineFailed(Machine machine, long now) {
     machine.failed = true;
-    attempts.resolveAll(machine, now);
+    attempts.resolveAll(machine, ResolutionProof.MACHINE_FAILED, now);
   }
 
   /** Resolves the attempts of all workers whose leases must have expired. */
