Every message passes the pause detection before it is handled

The machine, silent for 40 s, got launches for a session that had ended; its 409 then looked like a session lost in spite of answered reports, so a machine that worked was marked unreachable and returned.

Class: a check in one path and not in another. ObservedEnvironment wraps the node's environment, so requests of users and workers, messages of peers and outcomes of this node's own requests (workers, state service, cloud, peers) all reach PauseDetector first; HeartbeatHandler's own call is gone.

--- a/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
+++ b/src/main/java/org/mallowroad/controller/HeartbeatHandler.java
@@ -73,7 +73,6 @@
    */
   void handle(Heartbeat heartbeat, int relayPeer, HeartbeatResponder responder) {
     long now = loop.now();
-    collaborators.responder.recordActivity(now);
     if (context.lifecycle().isStopped()) {
       responder.retryLater(); // The heartbeat was deferred and the leadership has ended since.
       return;
--- a/src/main/java/org/mallowroad/controller/Leader.java
+++ b/src/main/java/org/mallowroad/controller/Leader.java
@@ -264,11 +264,16 @@
    * be mistaken for a pause of the process.
    */
   private void detectPauses() {
-    responder.recordActivity(loop.now());
+    recordActivity();
     responder.recordTick();
     heartbeats.expireDeferred(loop.now());
   }
 
+  /** Detects a pause of this process; called on each tick and before each message is handled. */
+  void recordActivity() {
+    responder.recordActivity(loop.now());
+  }
+
   /** Ends the term; no writes or answers are sent afterwards. */
   void stop() {
     lifecycle.stop();
--- a/src/main/java/org/mallowroad/controller/Node.java
+++ b/src/main/java/org/mallowroad/controller/Node.java
@@ -54,7 +54,7 @@
   public Node(ClusterConfig clusterConfig, NodeEnvironment environment) throws IOException {
     this.components = new NodeComponents(clusterConfig, environment);
     this.clusterConfig = clusterConfig;
-    this.environment = environment;
+    this.environment = components.environment;
     this.loop = components.loop;
     this.leadership = components.leadership;
     this.console = newConsole();
--- a/src/main/java/org/mallowroad/controller/NodeComponents.java
+++ b/src/main/java/org/mallowroad/controller/NodeComponents.java
@@ -16,6 +16,7 @@
 import org.mallowroad.net.EventLoop;
 import org.mallowroad.net.IncomingRequest;
 import org.mallowroad.net.NodeEnvironment;
+import org.mallowroad.net.ObservedEnvironment;
 import org.mallowroad.net.RateLimiter;
 import org.mallowroad.net.RequestSender;
 import org.mallowroad.peer.PeerMessenger;
@@ -110,9 +111,9 @@
    */
   final LinkMonitor links;
 
-  NodeComponents(ClusterConfig clusterConfig, NodeEnvironment environment) {
+  NodeComponents(ClusterConfig clusterConfig, NodeEnvironment nodeEnvironment) {
     this.clusterConfig = clusterConfig;
-    this.environment = environment;
+    this.environment = new ObservedEnvironment(nodeEnvironment, this::recordActivity);
     this.loop = environment.loop();
     Settings settings = clusterConfig.settings();
     int maxAnswerBytes = (int) (settings.ramMb() * 1024 * 1024) / MEMORY_TO_ANSWER_RATIO;
@@ -163,6 +164,13 @@
     }
   }
 
+  /** Lets the leader notice a pause of this process before it handles the message read now. */
+  private void recordActivity() {
+    if (leadership.isLeading()) {
+      leadership.leader().recordActivity();
+    }
+  }
+
   private KeyValueStore newStateClient(
       Settings settings, RequestSender calls, RequestSender watches) {
     KeyValueStore client =
--- a/src/main/java/org/mallowroad/controller/provisioning/FailureResponder.java
+++ b/src/main/java/org/mallowroad/controller/provisioning/FailureResponder.java
@@ -146,9 +146,9 @@
   }
 
   /**
-   * Detects pauses of this process. Must be called by the leader's tick and before each heartbeat
-   * is handled. After a pause, the silence of machines is measured anew, because this process
-   * received nothing meanwhile.
+   * Detects pauses of this process. Must be called by the leader's tick and before each message of
+   * any kind is handled. After a pause, the silence of machines is measured anew, because this
+   * process received nothing meanwhile.
    */
   public void recordActivity(long now) {
     long pausedMs = health.pauseDetector().recordActivity(now);
--- a/src/main/java/org/mallowroad/core/health/PauseDetector.java
+++ b/src/main/java/org/mallowroad/core/health/PauseDetector.java
@@ -8,11 +8,11 @@
  * that waited in the sockets look new. A failure detector that checks its own health first (as in
  * Lifeguard, 2017) draws no conclusion from its own pause.
  *
- * <p>Every iteration of the event loop and every message is passed to {@link #recordActivity}. A
- * gap that is longer than the limit is a pause. Messages that are read within two ticks after the
- * pause may have been waiting since before it, so {@link #assumedArrivalMs} dates them to the
- * beginning of the pause. The silence of other machines counts from the end of the pause at the
- * earliest ({@link #listeningSinceMs}).
+ * <p>Every tick of the event loop and, before it is handled, every message is passed to {@link
+ * #recordActivity} (see {@code net.ObservedEnvironment}). A gap that is longer than the limit is a
+ * pause. Messages that are read within two ticks after the pause may have been waiting since before
+ * it, so {@link #assumedArrivalMs} dates them to the beginning of the pause. The silence of other
+ * machines counts from the end of the pause at the earliest ({@link #listeningSinceMs}).
  *
  * <p>Not thread-safe: confined to the controller's event loop.
  */
--- a/src/test/java/org/mallowroad/net/StubEnvironment.java
+++ b/src/test/java/org/mallowroad/net/StubEnvironment.java
@@ -37,6 +37,7 @@
       };
 
   private final Responder responder;
+  private RequestHandler requestHandler;
 
   public StubEnvironment(Responder responder) {
     this.responder = responder;
@@ -63,7 +64,14 @@
   }
 
   @Override
-  public void listen(RequestHandler handler) {}
+  public void listen(RequestHandler handler) {
+    requestHandler = handler;
+  }
+
+  /** The handler that was passed to {@link #listen}; null before. */
+  RequestHandler requestHandler() {
+    return requestHandler;
+  }
 
   @Override
   public long bufferedBodyBytes() {
